--- a/examples/in_process.py
+++ b/examples/in_process.py
@@ -2,7 +2,7 @@
 
 import heapq
 
-from willowlb import Balancer, Entry, RequestClass, Settings
+from violetsaddle import Balancer, Entry, RequestClass, Settings
 
 
 class FakeTransport:
--- a/tests/helpers.py
+++ b/tests/helpers.py
@@ -4,8 +4,8 @@
 
 from typing import Any
 
-from willowlb import Balancer, Entry, RequestClass, Settings
-from willowlb.interface import KEYED, SAFE, UNSAFE
+from violetsaddle import Balancer, Entry, RequestClass, Settings
+from violetsaddle.interface import KEYED, SAFE, UNSAFE
 
 MS = 1_000
 SECOND = 1_000_000
--- a/tests/test_benchlink.py
+++ b/tests/test_benchlink.py
@@ -9,8 +9,8 @@
 
 import pytest
 
-from willowlb.benchlink import Host, WireError, settings
-from willowlb.interface import SettingsError
+from violetsaddle.benchlink import Host, WireError, settings
+from violetsaddle.interface import SettingsError
 
 ENV = {"requestClasses": [{"target": 100000, "deadline": 900000, "idempotency": "retryable", "new": 1}],
        "failureDomains": ["p", "q"], "familyInfo": {"reportX0": "free slots"}, "period": 1000,
@@ -73,7 +73,7 @@
 
 @pytest.mark.parametrize("text, code", [("", 0), (START, 0), (START + "CLOCK 7\nNOTHING\n", 2)])
 def test_exit_codes(text: str, code: int) -> None:
-    run = subprocess.run([sys.executable, "-m", "willowlb.benchlink"], input=text, text=True,
+    run = subprocess.run([sys.executable, "-m", "violetsaddle.benchlink"], input=text, text=True,
                          capture_output=True, timeout=60)
     assert run.returncode == code
     assert bool(run.stderr) == bool(code)
@@ -82,7 +82,7 @@
 def test_same_actions_whatever_the_hash_seed() -> None:
     text = START + "".join(f"CLOCK {9000 + n}\nINCOMING scheduler/0 c:{n} 0 - {n} 1 - 0 0 - 900000 0\nFLUSH\n"
                            for n in range(50))
-    outs = {subprocess.run([sys.executable, "-m", "willowlb.benchlink"], input=text, text=True, timeout=60,
+    outs = {subprocess.run([sys.executable, "-m", "violetsaddle.benchlink"], input=text, text=True, timeout=60,
                            capture_output=True, env={"PYTHONHASHSEED": str(seed)}).stdout
             for seed in range(3)}
     assert len(outs) == 1
--- a/tests/test_departures.py
+++ b/tests/test_departures.py
@@ -7,8 +7,8 @@
 import pytest
 
 from tests.helpers import MS, SECOND, make, run_until
-from willowlb import Entry
-from willowlb.policy import TokenBucket
+from violetsaddle import Entry
+from violetsaddle.policy import TokenBucket
 
 FREE = frozenset({"free_slots"})
 
--- a/tests/test_drill.py
+++ b/tests/test_drill.py
@@ -9,8 +9,8 @@
 import pytest
 
 from tests.helpers import CLASSES, MS, SECOND, Recorder
-from willowlb import Balancer, Entry, Settings
-from willowlb.interface import KEYED, NEVER_RAN, OUTCOMES, SAFE, UNSAFE
+from violetsaddle import Balancer, Entry, Settings
+from violetsaddle.interface import KEYED, NEVER_RAN, OUTCOMES, SAFE, UNSAFE
 
 LIKELY = ["ok"] * 6 + sorted(OUTCOMES - {"moot", "cancelled"})
 VARIANTS: list[dict[str, Any]] = [
--- a/tests/test_policy.py
+++ b/tests/test_policy.py
@@ -7,9 +7,9 @@
 import pytest
 
 from tests.helpers import MS, SECOND, make, run_until
-from willowlb import Entry, RequestClass, Settings, Tenant
-from willowlb.interface import EventError, SettingsError
-from willowlb.policy import FleetRate, TokenBucket
+from violetsaddle import Entry, RequestClass, Settings, Tenant
+from violetsaddle.interface import EventError, SettingsError
+from violetsaddle.policy import FleetRate, TokenBucket
 
 
 def test_bucket_accrues_to_its_burst_and_tells_the_wait() -> None:
--- a/willowlb/benchlink.py
+++ b/violetsaddle/benchlink.py
@@ -8,8 +8,8 @@
 from collections.abc import Callable
 from typing import Any, TextIO
 
-from willowlb import interface as api
-from willowlb.policy import Balancer
+from violetsaddle import interface as api
+from violetsaddle.policy import Balancer
 
 OUTCOME = {
     "done": api.OK, "err": api.ERROR, "busy": api.FULL, "etimedout": api.TIMEOUT,
--- a/willowlb/interface.py
+++ b/violetsaddle/interface.py
@@ -1,7 +1,7 @@
-"""The interface of willowlb: settings, events, actions and outcomes, in the words of the field.
+"""The interface of violetsaddle: settings, events, actions and outcomes, in the words of the field.
 
 Times are microseconds on one clock that only goes forward.  Events are the public methods of
-`willowlb.policy.Balancer`; what it decides goes to an object with the methods of `Actions`.
+`violetsaddle.policy.Balancer`; what it decides goes to an object with the methods of `Actions`.
 """
 
 from __future__ import annotations
--- a/willowlb/policy.py
+++ b/violetsaddle/policy.py
@@ -1,4 +1,4 @@
-"""Every decision of willowlb.  Interface (settings, events, actions, outcomes): willowlb/interface.py.
+"""Every decision of violetsaddle.  Interface (settings, events, actions, outcomes): violetsaddle/interface.py.
 
 The ordinary path of a request, in `Balancer.request`: its tenant's bucket (`TokenBucket`, refilled at
 share x fleet slot rate / N schedulers) pays for its slots and it is pushed.  An over-bucket job is pushed
@@ -15,7 +15,7 @@
 from random import Random
 from typing import Any
 
-from willowlb import interface as api
+from violetsaddle import interface as api
 
 SECOND = 1_000_000  # microseconds
 # Buckets and the fleet's rate
