--- /dev/null
+++ b/violetsaddle/__main__.py
@@ -0,0 +1,77 @@
+"""Starts one real node: reads its configuration and runs it until SIGTERM."""
+
+from __future__ import annotations
+
+import json
+import os
+import sys
+from typing import Any
+
+from violetsaddle import settings
+from violetsaddle.interface import SettingsError
+from violetsaddle.net.discovery import BadList, address
+from violetsaddle.net.node import Config, run
+
+
+class ConfigError(Exception):
+    """The configuration can't be used; the text names the key."""
+
+
+def at(table: dict[str, Any], key: str, variable: str) -> tuple[str, int]:
+    """An address from the environment or the configuration."""
+    try:
+        return address(os.environ.get(variable) or table.get(key))
+    except BadList as error:
+        raise ConfigError(f"{key}: {error}") from None
+
+
+def whole(table: dict[str, Any], key: str, default: int) -> int:
+    value = table.get(key, default)
+    if isinstance(value, bool) or not isinstance(value, int) or value < 1:
+        raise ConfigError(f"{key}: must be a whole number above 0, not {value!r}")
+    return value
+
+
+def read() -> Config:
+    path = os.environ.get("RELAY_CONFIG")
+    if not path:
+        raise ConfigError("RELAY_CONFIG: is not set")
+    try:
+        with open(path, encoding="utf-8") as file:
+            table = json.load(file)
+    except (OSError, ValueError) as error:
+        raise ConfigError(f"RELAY_CONFIG: {error}") from None
+    if not isinstance(table, dict):
+        raise ConfigError("RELAY_CONFIG: must hold a JSON object")
+    env = table.get("settings")
+    fields, told = settings.read(env)
+    limits = table.get("limits") or {}
+    if not isinstance(limits, dict) or not isinstance(env, dict):
+        raise ConfigError("limits: must be a table")
+    try:
+        seed = int(str(table.get("seed", "0")), 16)
+    except ValueError:
+        raise ConfigError(f"seed: must be hexadecimal, not {table.get('seed')!r}") from None
+    return Config(
+        name=str(os.environ.get("RELAY_NAME") or table.get("name") or "node"),
+        listen=at(table, "listen", "RELAY_LISTEN"), discovery=at(table, "discovery", "RELAY_DISCOVERY"),
+        seed=seed, sockets=whole(limits, "sockets", 1024), known=table.get("known"), told=told, fields=fields,
+        classes=settings.names(env, "requestClasses"), tenants=settings.names(env, "tenants"),
+        zones=settings.names(env, "failureDomains"), kinds=settings.names(env, "kinds"))
+
+
+def main() -> int:
+    try:
+        config = read()
+    except (ConfigError, SettingsError) as error:
+        print(f"violetsaddle: {error}".replace("\n", " "), file=sys.stderr)
+        return 2
+    try:
+        return run(config)
+    except BadList as error:
+        print(f"violetsaddle: known: {error}".replace("\n", " "), file=sys.stderr)
+        return 2
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- /dev/null
+++ b/violetsaddle/net/deadlines.py
@@ -0,0 +1,94 @@
+"""All deadlines of the node in one sorted structure.
+
+It is swept on each reactor turn that has work; one `callLater` stands for the earliest deadline."""
+
+from __future__ import annotations
+
+import time
+from collections.abc import Callable
+from typing import Any, TypeAlias
+
+from sortedcontainers import SortedList
+from twisted.internet.base import DelayedCall
+
+from violetsaddle.net.limits import SECOND
+
+Reactor: TypeAlias = Any  # Twisted types neither its reactors' methods
+Transport: TypeAlias = Any  # nor those of its transports
+
+
+def monotonic() -> int:
+    """The module's clock: microseconds that never go backwards."""
+    return time.monotonic_ns() // 1000
+
+
+class Deadline:
+    """A handle: give it to `Deadlines.drop` when the time no longer matters."""
+
+    __slots__ = ("at", "number", "what")
+
+    def __init__(self, at: int, number: int, what: Callable[[], object]) -> None:
+        self.at, self.number, self.what = at, number, what
+
+    def __lt__(self, other: Deadline) -> bool:
+        return (self.at, self.number) < (other.at, other.number)
+
+
+class Deadlines:
+    def __init__(self, reactor: Reactor, fault: Callable[[str, BaseException], None]) -> None:
+        self._reactor, self._fault = reactor, fault
+        self._sorted: Any = SortedList()
+        self._number = 0
+        self._call: DelayedCall | None = None
+        self._call_at = 0
+        self._sweeping = False
+
+    def __len__(self) -> int:
+        return len(self._sorted)
+
+    def add(self, at: int, what: Callable[[], object]) -> Deadline:
+        self._number += 1
+        deadline = Deadline(at, self._number, what)
+        self._sorted.add(deadline)
+        if not self._sweeping:
+            self._set_call()
+        return deadline
+
+    def after(self, wait: int, what: Callable[[], object]) -> Deadline:
+        return self.add(monotonic() + wait, what)
+
+    def drop(self, deadline: Deadline | None) -> None:
+        """Dropping one that has passed or was dropped does nothing."""
+        if deadline is not None:
+            self._sorted.discard(deadline)
+
+    def sweep(self) -> None:
+        """Runs what is due; what it adds that is due already waits for the next turn."""
+        if self._sweeping:
+            return
+        self._sweeping = True
+        now, last = monotonic(), self._number
+        while self._sorted and self._sorted[0].at <= now and self._sorted[0].number <= last:
+            deadline = self._sorted.pop(0)
+            try:
+                deadline.what()
+            except Exception as error:
+                # One that fails must not take the others with it.
+                self._fault("a deadline's work failed", error)
+        self._sweeping = False
+        self._set_call()
+
+    def _set_call(self) -> None:
+        if not self._sorted:
+            return
+        at = self._sorted[0].at
+        if self._call is not None:
+            if at >= self._call_at:
+                return  # an early call only sweeps in vain
+            self._call.cancel()
+        self._call_at = at
+        self._call = self._reactor.callLater(max(0, at - monotonic()) / SECOND, self._called)
+
+    def _called(self) -> None:
+        self._call = None
+        self.sweep()
--- /dev/null
+++ b/violetsaddle/net/discovery.py
@@ -0,0 +1,142 @@
+"""Discovery: the list of real servers, watched for as long as it answers."""
+
+from __future__ import annotations
+
+import json
+import time
+from collections.abc import Sequence
+from typing import Any
+
+from twisted.internet.defer import CancelledError, Deferred
+from twisted.python.failure import Failure as Reason
+
+from violetsaddle import interface as api
+from violetsaddle.net import http
+from violetsaddle.net.counters import Counters
+from violetsaddle.net.deadlines import Deadlines, Reactor, monotonic
+from violetsaddle.net.flows import Flows
+from violetsaddle.net.limits import MS, Limits
+from violetsaddle.net.servers import Broken, NotConnected, ServerConnection, Servers, dial
+
+STATES = {"up": api.ACTIVE, "draining": api.DRAINING, "removed": api.GONE}
+
+
+class BadList(Exception):
+    """What discovery gave is no list; the text names the fault."""
+
+
+def address(text: object) -> tuple[str, int]:
+    host, _, port = text.rpartition(":") if isinstance(text, str) else ("", "", "")
+    if not host or not port.isdigit() or not 0 < int(port) < 65536:
+        raise BadList(f"addr is no address: {text!r}")
+    return host, int(port)
+
+
+class Discovery:
+    """Implements `flows.Watcher`."""
+
+    def __init__(self, reactor: Reactor, limits: Limits, deadlines: Deadlines, counters: Counters,
+                 flows: Flows, servers: Servers, at: tuple[str, int], zones: Sequence[str],
+                 kinds: Sequence[str]) -> None:
+        self._reactor, self._limits, self._deadlines, self._counters = reactor, limits, deadlines, counters
+        self._flows, self._servers, self._host, self._port = flows, servers, *at
+        self._zones = {name: index for index, name in enumerate(zones)}
+        self._kinds = {name: index for index, name in enumerate(kinds)}
+        # Discovery tells Unix time, the module's clock is the monotonic one: this is what lies between.
+        self._clock_ahead = monotonic() - time.time_ns() // 1000
+        self._version = 0
+        self._connection: ServerConnection | None = None
+        self._watching = False
+        self._stopped = False
+
+    def take(self, told: Any, kind: str | None = None) -> None:
+        """Hands a list on; raises `BadList`, and then nothing of it counts."""
+        try:
+            version, whole, items = int(told["version"]), bool(told["full"]), list(told["servers"])
+            entries, addresses, gone = [], {}, []
+            for item in items:
+                entry = self._entry(item)
+                entries.append(entry)
+                if entry.state == api.GONE:
+                    gone.append(item["id"])
+                else:
+                    addresses[item["id"]] = address(item.get("addr"))
+        except (KeyError, TypeError, ValueError, OverflowError, AttributeError) as error:
+            raise BadList(f"{type(error).__name__}: {error}") from None
+        self._version = version
+        self._servers.listed(addresses, gone, whole)
+        self._flows.listed(kind or (api.SNAPSHOT if whole else api.DIFF), entries)
+
+    def _entry(self, item: dict[str, Any]) -> api.Entry:
+        name, state = item["id"], STATES[item.get("state", "up")]
+        if not isinstance(name, str) or not name:
+            raise BadList("an entry's id is no name")
+        started = int(item.get("started_ms") or 0)
+        return api.Entry(
+            worker=self._servers.number_of(name), zone=self._index(self._zones, item.get("zone", 0)),
+            cell=int(item.get("cell") or 0), kind=self._index(self._kinds, item.get("kind", 0)),
+            weight=float(item.get("weight", 1.0)), state=state,
+            started=started * MS + self._clock_ahead or 1 if started else 0)
+
+    @staticmethod
+    def _index(names: dict[str, int], name: object) -> int:
+        index = names.get(name) if isinstance(name, str) else name
+        if not isinstance(index, int) or not 0 <= index < max(1, len(names)):
+            raise BadList(f"unknown zone or kind: {name!r}")
+        return index
+
+    def watch(self) -> None:
+        if self._watching or self._stopped:
+            return
+        self._watching = True
+        Deferred.fromCoroutine(self._watch()).addErrback(self._failed)
+
+    def stop(self) -> None:
+        self._stopped = True
+        if self._connection is not None:
+            self._connection.transport.abortConnection()
+
+    def _failed(self, reason: Reason) -> None:
+        """A fault of our own is a failed call too: the module asks again."""
+        self._counters.fault("the watch failed", reason.value)
+        self._over()
+
+    def _over(self) -> None:
+        self._watching = False
+        if self._connection is not None:
+            self._connection.transport.abortConnection()
+            self._connection = None
+        if not self._stopped:
+            self._flows.listed(api.LIST_ERROR, ())
+
+    async def _watch(self) -> None:
+        """Asks again as soon as an answer is taken in, until a call fails."""
+        try:
+            while not self._stopped:
+                answer = await self._call()
+                if answer.status != 200:
+                    self._counters.add("watch_refused")
+                    break
+                self.take(json.loads(bytes(answer.body)))
+        except (NotConnected, Broken, CancelledError):
+            self._counters.add("watch_broken")
+        except (BadList, ValueError, RecursionError) as error:
+            self._counters.add("watch_bad")
+            self._counters.say(f"discovery gave a bad list: {error}"[:300])
+        self._over()
+
+    async def _call(self) -> http.Message:
+        if self._connection is None or not self._connection.open:
+            self._connection = await dial(
+                self._reactor, self._deadlines, self._limits.dial, self._host, self._port,
+                lambda: ServerConnection(self._limits, lambda _: None))
+        target = "/discovery/hosts"
+        if self._version:
+            target += f"?after={self._version}&wait_ms={self._limits.watch_wait // MS}"
+        self._counters.add("watch_calls")
+        calling = self._connection.exchange([http.request("GET", target, f"{self._host}:{self._port}")])
+        late = self._deadlines.after(self._limits.watch_wait + self._limits.watch_grace, calling.cancel)
+        try:
+            return await calling
+        finally:
+            self._deadlines.drop(late)
--- /dev/null
+++ b/violetsaddle/net/edge.py
@@ -0,0 +1,327 @@
+"""The edge: clients' connections at the node's address, and real servers' callbacks at the same one."""
+
+from __future__ import annotations
+
+import json
+import re
+from collections.abc import Callable, Sequence
+from dataclasses import dataclass, field
+from hashlib import blake2b
+from urllib.parse import parse_qsl
+
+from twisted.internet.interfaces import IAddress
+from twisted.internet.protocol import Factory, Protocol, connectionDone
+from twisted.python.failure import Failure as Reason
+
+from violetsaddle import interface as api
+from violetsaddle.net import http
+from violetsaddle.net.counters import Counters
+from violetsaddle.net.deadlines import Deadline, Deadlines, Transport
+from violetsaddle.net.flows import Failure, Flows, Unfit
+from violetsaddle.net.limits import MS, SECOND, Limits
+from violetsaddle.net.slots import SlotTable
+
+UNITS = {"m": MS, "u": 1}
+ID = re.compile("[!-~]+")
+STATES = {"done": api.OK, "failed": api.ERROR, "returned": api.FULL, "lost": api.RESET}
+
+
+class HttpOrder:
+    """A client's request as real servers get it; a copy, for several schedulings may need it."""
+
+    __slots__ = ("_head", "_body")
+
+    def __init__(self, message: http.Message) -> None:
+        head = bytearray(f"{message.start[0]} {message.start[1]} HTTP/1.1\r\n".encode("ascii"))
+        for name, value in message.fields:
+            if str(name, "ascii").lower() not in http.HOP_BY_HOP and bytes(name).lower() != b"x-remaining":
+                head += bytes(name) + b": " + bytes(value) + b"\r\n"
+        self._body = bytes(message.body)
+        head += b"Content-Length: %d\r\n" % len(self._body)
+        self._head = bytes(head)
+
+    def message(self, host: str, wait: int) -> Sequence[bytes]:
+        return self._head, f"Host: {host}\r\nX-Remaining: {max(1, wait)}u\r\n\r\n".encode("ascii"), self._body
+
+
+@dataclass(frozen=True)
+class Shared:
+    """What every edge connection works with."""
+
+    flows: Flows
+    limits: Limits
+    deadlines: Deadlines
+    counters: Counters
+    report: Callable[[object], api.Report | None]
+    connections: SlotTable[EdgeConnection] = field(default_factory=SlotTable)
+
+
+def remaining(text: str | None) -> int:
+    """Microseconds of `480m` or `9000u`; raises `Unfit`."""
+    number, unit = (text or "")[:-1], (text or "")[-1:]
+    if unit not in UNITS or not number.isascii() or not number.isdigit() or len(number) > 12:
+        raise Unfit("X-Remaining is missing or no time")
+    return int(number) * UNITS[unit]
+
+
+def labelled(text: str | None, name: str, default: float) -> float:
+    for pair in (text or "").split(","):
+        key, _, value = pair.partition("=")
+        if key.strip() == name:
+            try:
+                number = float(value)
+            except ValueError:
+                raise Unfit(f"the label {name} is no number") from None
+            if not 0 < number <= 1024:
+                raise Unfit(f"the label {name} is out of range")
+            return number
+    return default
+
+
+def subject(query: str) -> int | None:
+    """The number that stands for what the flow is about, the same at every node."""
+    for name, value in parse_qsl(query, max_num_fields=64) if "sid=" in query else ():
+        if name == "sid":
+            return int.from_bytes(blake2b(value.encode(), digest_size=8).digest(), "big") >> 11
+    return None
+
+
+class EdgeConnection(Protocol):
+    """One client's (or calling real server's) connection; it carries one request at a time."""
+
+    transport: Transport
+
+    def __init__(self, shared: Shared, gone: Callable[[EdgeConnection], None]) -> None:
+        self._shared, self._gone = shared, gone
+        self._parser = http.Parser(shared.limits, shared.limits.body)
+        self.number = -1
+        self._flow = -1
+        self._awaited = False  # a flow's final answer is still to come
+        self._closing = False  # the answer written last says so
+        self._close_next = False  # the present request is the last one
+        self._continued = False
+        self._lost = False
+        self.calls_back = False  # a real server's
+        self._due: Deadline | None = None
+
+    @property
+    def idle(self) -> bool:
+        return not self._awaited and not self._parser.held and not self._closing
+
+    def connectionMade(self) -> None:
+        self.transport.setTcpNoDelay(True)
+        self.number = self._shared.connections.put(self)
+        self._shared.counters.add("edge_connections")
+        self._wait(self._shared.limits.edge_idle)
+
+    def connectionLost(self, reason: Reason = connectionDone) -> None:
+        self._lost = True
+        self._shared.deadlines.drop(self._due)
+        self._shared.connections.free(self.number)
+        if self._awaited:
+            self._awaited = False
+            self._shared.flows.leave(self._flow)
+        self._gone(self)
+
+    def _wait(self, time: int) -> None:
+        self._shared.deadlines.drop(self._due)
+        number, connections = self.number, self._shared.connections
+
+        def due() -> None:
+            connection = connections.get(number)
+            if connection is not None:
+                connection.timed_out()
+
+        self._due = self._shared.deadlines.after(time, due)
+
+    def timed_out(self) -> None:
+        if self._parser.held and not self._closing:
+            self._answer(408, close=True)
+        else:
+            self.end()
+
+    def end(self) -> None:
+        """Closes once what was written has gone out."""
+        self._closing = True
+        self.transport.loseConnection()
+
+    def close_soon(self) -> None:
+        """An idle one closes now, another with its answer."""
+        self._close_next = True
+        if self.idle:
+            self.end()
+
+    def dataReceived(self, data: bytes) -> None:
+        if self._closing:
+            return
+        fresh = not self._parser.held
+        self._parser.feed(data)
+        try:
+            if self._awaited:
+                # A client sends one request at a time; what it sends ahead waits, within bounds.
+                if self._parser.held > self._shared.limits.head + self._shared.limits.body:
+                    raise http.Malformed(413, "too much sent ahead of an answer")
+                return
+            self._read(fresh)
+        except http.Malformed as error:
+            self._refused(error)
+        except Exception as error:
+            self._shared.counters.fault("an edge connection failed", error)
+            self._abort()
+
+    def _refused(self, error: http.Malformed) -> None:
+        self._shared.counters.add("bad_messages")
+        if self._awaited:
+            self._abort()  # the answer owed can't be given in its turn any more
+        else:
+            self._answer(error.status, error.text.encode(), close=True)
+
+    def _abort(self) -> None:
+        self._closing = True
+        self.transport.abortConnection()
+
+    def _read(self, fresh: bool) -> None:
+        while not self._awaited and not self._closing:
+            message = self._parser.next()
+            if message is None:
+                if self._parser.held and fresh:
+                    self._wait(self._shared.limits.edge_read)
+                if self._parser.wants_continue and not self._continued:
+                    self._continued = True
+                    self.transport.write(http.answer(100).replace(b"Content-Length: 0\r\n", b""))
+                return
+            self._continued, fresh = False, True
+            self._close_next = self._close_next or not message.keeps_alive
+            self._take(message)
+
+    def _take(self, message: http.Message) -> None:
+        path, _, query = message.start[1].partition("?")
+        wanted = {"/api": "POST", "/callback": "POST", "/up": "GET"}.get(path)
+        if wanted is None:
+            self._answer(404)
+        elif message.start[0] != wanted:
+            self._answer(405, headers=f"Allow: {wanted}\r\n")
+        elif path == "/up":
+            self._answer(200, b"ready")
+        elif path == "/callback":
+            self.calls_back = True
+            self._call(message)
+        else:
+            self._ask(message, query)
+
+    def _ask(self, message: http.Message, query: str) -> None:
+        limits = self._shared.limits
+        try:
+            job, cls = message.header("x-txn") or "", message.header("x-lane")
+            if not ID.fullmatch(job) or len(job) > limits.identity:
+                raise Unfit("X-Txn is missing or no id")
+            time = remaining(message.header("x-remaining"))
+            slots = labelled(message.header("x-labels"), "slots", 1.0)
+            if cls is None:
+                raise Unfit("X-Lane is missing")
+            self._awaited = True
+            self._shared.deadlines.drop(self._due)
+            number = self._shared.flows.arrive(
+                job, cls, message.header("x-org"), time, bool(message.header("idempotency-key")), slots,
+                subject(query), HttpOrder(message), self)
+            self._flow = number
+        except Unfit as error:
+            self._awaited = False
+            self._answer(400, str(error).encode())
+
+    def _call(self, message: http.Message) -> None:
+        """A real server tells what becomes of a scheduling."""
+        try:
+            call = json.loads(bytes(message.body))
+            job, name, state = call["id"], call["from"], call["state"]
+            if not (isinstance(job, str) and isinstance(name, str) and isinstance(state, str)):
+                raise TypeError
+        except (ValueError, KeyError, TypeError, RecursionError):
+            self._shared.counters.add("bad_callbacks")
+            self._answer(400, b"not a callback")
+            return
+        self._shared.counters.add("callbacks")
+        # First the reply: the real server must not call again for what takes us time.
+        self._answer(204)
+        scheduling = self._shared.flows.find(job, name)
+        if scheduling is None:
+            self._shared.counters.add("callbacks_unmatched")
+        elif state == "started":
+            self._shared.flows.noted(scheduling, api.STARTED, 0.0)
+        elif state == "running":
+            share = call.get("share")
+            if isinstance(share, (int, float)) and 0 <= share <= 1:
+                self._shared.flows.noted(scheduling, api.PROGRESS, float(share))
+        elif state in STATES:
+            outcome, result = STATES[state], call.get("result")
+            if outcome == api.OK and not isinstance(result, str):
+                outcome = api.ERROR  # it ran, but there is nothing of its own to pass on
+            self._shared.flows.ended(
+                scheduling, outcome, self._shared.report(call.get("load")),
+                result.encode("utf-8", "surrogatepass") if outcome == api.OK else None)
+        else:
+            self._shared.counters.add("bad_callbacks")
+
+    # The final answers.
+
+    def served(self, result: bytes) -> None:
+        self._final(200, result)
+
+    def turned_down(self, come_back: int, before_sending: bool) -> None:
+        headers = f"Retry-After: {come_back / SECOND:.6f}\r\n" if come_back > 0 else ""
+        self._final(429 if before_sending else 503, headers=headers)
+
+    def failed(self, why: Failure) -> None:
+        self._final(504 if why is Failure.LATE else 502)
+
+    def _final(self, status: int, body: bytes = b"", headers: str = "") -> None:
+        if not self._awaited or self._lost:
+            return
+        self._awaited, self._flow = False, -1
+        self._answer(status, body, headers)
+        if self._parser.held and not self._closing:
+            self.dataReceived(b"")
+
+    def _answer(self, status: int, body: bytes = b"", headers: str = "", close: bool = False) -> None:
+        close = close or self._close_next
+        self._shared.counters.add(f"answer_{status}")
+        self.transport.write(http.answer(status, body, headers, close))
+        if close:
+            self.end()
+        else:
+            self._wait(self._shared.limits.edge_idle)
+
+
+class EdgeFactory(Factory):
+    """Accepts edge connections up to their limit; at it, idle ones make room."""
+
+    noisy = False
+
+    def __init__(self, shared: Shared) -> None:
+        self.shared = shared
+        self.closing = False
+        self.hold: Callable[[bool], None] = lambda held: None  # stops and resumes accepting
+        self._held = False
+
+    def buildProtocol(self, addr: IAddress | None) -> EdgeConnection:
+        connections = self.shared.connections
+        if len(connections) + 1 >= self.shared.limits.edge_connections:
+            for connection in connections:
+                if connection.idle:
+                    connection.end()
+                    break
+            else:
+                # None is idle: new ones wait in the backlog until one has ended.
+                self._held = True
+                self.hold(True)
+        return EdgeConnection(self.shared, self._gone)
+
+    def _gone(self, connection: EdgeConnection) -> None:
+        if self._held and not self.closing:
+            self._held = False
+            self.hold(False)
+
+    def close_soon(self, callers_too: bool) -> None:
+        for connection in self.shared.connections:
+            if callers_too or not connection.calls_back:
+                connection.close_soon()
--- /dev/null
+++ b/violetsaddle/net/flows.py
@@ -0,0 +1,306 @@
+"""Flows: each from its arrival to its one final answer.
+
+Implements the module's `Actions` and is the only caller of its `Balancer`.  Knows no protocol: whoever takes
+flows in hands over an `Order` and an `Asker`, and all go through the same decisions under the same rules."""
+
+from __future__ import annotations
+
+import enum
+from collections import deque
+from collections.abc import Callable, Sequence
+from typing import Protocol
+
+from twisted.internet.defer import Deferred
+
+from violetsaddle import interface as api
+from violetsaddle.net.counters import Counters
+from violetsaddle.net.deadlines import Deadline, Deadlines, monotonic
+from violetsaddle.net.limits import Limits
+from violetsaddle.net.slots import SlotTable
+from violetsaddle.policy import Balancer
+
+
+class Unfit(Exception):
+    """A flow that cannot be taken in; the text says why."""
+
+
+class Failure(enum.Enum):
+    """Why a flow failed, as far as its asker may want to tell."""
+
+    BROKEN = "broken"  # a real server's error, or no word that it ran
+    LATE = "late"  # time ran out
+
+
+class Order(Protocol):
+    """What a flow asks of a real server."""
+
+    def message(self, host: str, wait: int) -> Sequence[bytes]:
+        """The bytes to send; the node waits for the outcome for so many microseconds."""
+
+
+class Asker(Protocol):
+    """Who waits for the flow's final answer; exactly one of these is called, once."""
+
+    def served(self, result: bytes) -> None: ...
+
+    def turned_down(self, come_back: int, before_sending: bool) -> None: ...
+
+    def failed(self, why: Failure) -> None: ...
+
+
+class Scheduling:
+    """One attempt of a flow at a real server."""
+
+    __slots__ = ("flow", "job", "number", "server", "sent", "ended", "late", "ticket", "written", "accepted",
+                 "name")
+
+    def __init__(self, flow: int, job: str, number: int, server: int, sent: int) -> None:
+        self.flow, self.job, self.number, self.server, self.sent = flow, job, number, server, sent
+        self.ended = False  # its one outcome is known
+        self.late: Deadline | None = None
+        self.ticket: Deferred[None] | None = None  # what carries it, while it does
+        self.written = False  # the last byte went out
+        self.accepted = False  # a 202 came
+        self.name = ""  # the real server's, as in its callbacks
+
+
+class Carrier(Protocol):
+    """What brings schedulings to real servers."""
+
+    def carry(self, scheduling: Scheduling, order: Order, until: int) -> None: ...
+
+    def give_up(self, scheduling: Scheduling) -> Deferred[None]:
+        """Fires once the real server has been told, or can't be."""
+
+    def probe(self, server: int) -> None: ...
+
+
+class Watcher(Protocol):
+    """What asks discovery."""
+
+    def watch(self) -> None: ...
+
+
+class Flow:
+    __slots__ = ("number", "job", "order", "asker", "deadline", "schedulings", "guard", "late")
+
+    def __init__(self, job: str, order: Order, asker: Asker, deadline: int) -> None:
+        self.number, self.job, self.order, self.deadline = -1, job, order, deadline
+        self.asker: Asker | None = asker  # None: the final answer is given
+        self.schedulings: list[Scheduling] = []
+        self.guard: Deadline | None = None
+        self.late = False  # time ran out on the last scheduling
+
+
+class Flows:
+    def __init__(self, told: api.Settings, classes: Sequence[str], tenants: Sequence[str], seed: int,
+                 limits: Limits, deadlines: Deadlines, counters: Counters) -> None:
+        self._told, self._limits, self._deadlines, self._counters = told, limits, deadlines, counters
+        self._classes = {name: index for index, name in enumerate(classes)}
+        self._tenants = {name: index for index, name in enumerate(tenants)}
+        self._table: SlotTable[Flow] = SlotTable()
+        self._by_job: dict[str, int] = {}
+        self._events: deque[Callable[[], None]] = deque()
+        self._telling = False
+        self.carrier: Carrier
+        self.watcher: Watcher
+        self.when_idle: Callable[[], None] | None = None  # called when the last flow has ended
+        self._balancer = Balancer(told, seed, monotonic(), self)
+
+    def __len__(self) -> int:
+        return len(self._table)
+
+    # What comes in.  Events are told one after the other: the module is never entered from its own actions.
+
+    def _tell(self, event: Callable[[], None]) -> None:
+        self._events.append(event)
+        if self._telling:
+            return
+        self._telling = True
+        try:
+            while self._events:
+                try:
+                    self._events.popleft()()
+                except Exception as error:
+                    # The module failed on one event: the others must still have their answers.
+                    self._counters.fault("the module failed", error)
+        finally:
+            self._telling = False
+        self._deadlines.sweep()
+
+    def arrive(self, job: str, cls: str, tenant: str | None, remaining: int, repeat_key: bool, slots: float,
+               key: int | None, order: Order, asker: Asker) -> int:
+        """Takes a flow in and gives its number; raises `Unfit` if it can't be."""
+        index = self._classes.get(cls)
+        if index is None:
+            raise Unfit("unknown class")
+        place = self._tenants.get(tenant or "") if self._tenants else 0
+        if place is None:
+            raise Unfit("unknown tenant")
+        if remaining <= 0:
+            raise Unfit("no time remains")
+        if self._told.classes[index].effect == api.KEYED and not repeat_key:
+            raise Unfit("this class needs a key against repeats")
+        if job in self._by_job:
+            raise Unfit("the id is in use")
+        now = monotonic()
+        # The module's time ends a little before the client's: the answer needs some to arrive.
+        given = remaining - min(self._limits.answer_margin, remaining // 10)
+        flow = Flow(job, order, asker, now + given)
+        number = flow.number = self._table.put(flow)
+        self._by_job[job] = number
+        # Guards against a flow the module holds or lost past its deadline.
+        flow.guard = self._deadlines.add(now + remaining, lambda: self._overdue(number))
+        self._counters.add("flows")
+        self._tell(lambda: self._request(number, index, place, given, slots, key))
+        return number
+
+    def _request(self, number: int, cls: int, tenant: int, remaining: int, slots: float,
+                 key: int | None) -> None:
+        flow = self._table.get(number)
+        if flow is None:
+            return
+        try:
+            self._balancer.request(flow.deadline - remaining, flow.job, cls, remaining, tenant, slots, key)
+        except Exception as error:
+            self._counters.fault("the module failed on a flow", error)
+            self._fail(flow, Failure.BROKEN)
+
+    def leave(self, number: int) -> None:
+        """The asker has gone: nothing more is owed."""
+        flow = self._table.get(number)
+        if flow is None or flow.asker is None:
+            return
+        self._counters.add("askers_gone")
+        flow.asker = None
+        job = flow.job
+        self._tell(lambda: self._balancer.gone(monotonic(), job))
+        self._tidy(flow)
+
+    def listed(self, kind: str, entries: Sequence[api.Entry]) -> None:
+        self._counters.add("lists_" + kind)
+        self._tell(lambda: self._balancer.members(monotonic(), kind, entries))
+
+    def probed(self, server: int, ok: bool, report: api.Report | None) -> None:
+        self._counters.add("probes_ok" if ok else "probes_failed")
+        self._tell(lambda: self._balancer.probed(monotonic(), server, ok, report))
+
+    def find(self, job: str, name: str) -> Scheduling | None:
+        """The scheduling that a real server, known by its name, may still speak of."""
+        flow = self._table.get(self._by_job.get(job, -1))
+        if flow is None or not flow.schedulings:
+            return None
+        last = flow.schedulings[-1]
+        # Guards against a late word on an old scheduling: it must not end the present one.
+        return last if last.name == name and not last.ended else None
+
+    def noted(self, scheduling: Scheduling, what: int, amount: float) -> None:
+        if not scheduling.ended:
+            self._tell(lambda: self._balancer.note(
+                monotonic(), scheduling.job, scheduling.number, what, amount))
+
+    def ended(self, scheduling: Scheduling, outcome: str, report: api.Report | None = None,
+              result: bytes | None = None) -> None:
+        """The one outcome of a scheduling; a second one is passed over."""
+        if scheduling.ended:
+            return
+        scheduling.ended = True
+        self._deadlines.drop(scheduling.late)
+        self._counters.add("outcome_" + outcome)
+        flow = self._table.get(scheduling.flow)
+        if flow is None:
+            return
+        flow.late = outcome == api.TIMEOUT
+        if outcome == api.OK and flow.asker is not None:
+            asker, flow.asker = flow.asker, None
+            self._counters.add("answered_served")
+            asker.served(result or b"")
+        over = flow.asker is None
+        now = monotonic()
+        self._tell(lambda: self._balancer.answer(
+            now, scheduling.job, scheduling.number, outcome, now - scheduling.sent, over, report))
+        self._tidy(flow)
+
+    def _overdue(self, number: int) -> None:
+        flow = self._table.get(number)
+        if flow is None or flow.asker is None:
+            return
+        self._counters.add("overdue")
+        job = flow.job
+        self._fail(flow, Failure.LATE)
+        self._tell(lambda: self._balancer.gone(monotonic(), job))
+
+    def _expired(self, scheduling: Scheduling) -> None:
+        """Time ran out on a scheduling."""
+        flow = self._table.get(scheduling.flow)
+        if scheduling.ended or flow is None:
+            return
+        told = self.carrier.give_up(scheduling)
+        if monotonic() >= flow.deadline:
+            self.ended(scheduling, api.TIMEOUT)
+        else:
+            # Another scheduling may follow: it must not leave before the old one's end is out.
+            told.addBoth(lambda _: self.ended(scheduling, api.TIMEOUT))
+
+    def _fail(self, flow: Flow, why: Failure) -> None:
+        if flow.asker is not None:
+            asker, flow.asker = flow.asker, None
+            self._counters.add("answered_failed")
+            asker.failed(why)
+        self._tidy(flow)
+
+    def _tidy(self, flow: Flow) -> None:
+        """A flow's slot is free once its answer is given and no scheduling is out."""
+        if flow.asker is None and all(s.ended for s in flow.schedulings) and self._table.get(flow.number):
+            self._deadlines.drop(flow.guard)
+            self._table.free(flow.number)
+            del self._by_job[flow.job]
+            if not len(self._table) and self.when_idle is not None:
+                self.when_idle()
+
+    # The module's actions.
+
+    def send(self, job: str, worker: int, until: int) -> None:
+        flow = self._table.get(self._by_job.get(job, -1))
+        if flow is None:
+            return
+        now = monotonic()
+        until = min(until, flow.deadline) if until else flow.deadline
+        scheduling = Scheduling(flow.number, job, len(flow.schedulings), worker, now)
+        flow.schedulings.append(scheduling)
+        if flow.asker is None or now >= until or len(flow.schedulings) > self._told.most_attempts:
+            self.ended(scheduling, api.MOOT)
+            return
+        scheduling.late = self._deadlines.add(until, lambda: self._expired(scheduling))
+        self._counters.add("schedulings")
+        self.carrier.carry(scheduling, flow.order, until)
+
+    def refuse(self, job: str, retry_after: int) -> None:
+        flow = self._table.get(self._by_job.get(job, -1))
+        if flow is not None and flow.asker is not None:
+            asker, flow.asker = flow.asker, None
+            self._counters.add("answered_turned_down")
+            asker.turned_down(retry_after, not flow.schedulings)
+            self._tidy(flow)
+
+    def fail(self, job: str) -> None:
+        flow = self._table.get(self._by_job.get(job, -1))
+        if flow is not None:
+            self._fail(flow, Failure.LATE if flow.late else Failure.BROKEN)
+
+    def cancel(self, job: str, attempt: int) -> None:
+        flow = self._table.get(self._by_job.get(job, -1))
+        if flow is None or attempt >= len(flow.schedulings) or flow.schedulings[attempt].ended:
+            return
+        scheduling = flow.schedulings[attempt]
+        self.carrier.give_up(scheduling).addBoth(lambda _: self.ended(scheduling, api.CANCELLED))
+
+    def probe(self, worker: int) -> None:
+        self._counters.add("probes")
+        self.carrier.probe(worker)
+
+    def watch(self) -> None:
+        self.watcher.watch()
+
+    def arm(self, time: int) -> None:
+        self._deadlines.add(time, lambda: self._tell(lambda: self._balancer.wake(monotonic())))
--- /dev/null
+++ b/violetsaddle/net/limits.py
@@ -0,0 +1,43 @@
+"""Every size, count and time of the network part, in one value that is filled at start and handed down."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+
+from violetsaddle.interface import Settings
+
+MS = 1_000  # microseconds
+SECOND = 1_000 * MS
+SPARE_DESCRIPTORS = 64  # for files, the reactor, the listener and discovery
+
+
+@dataclass(frozen=True)
+class Limits:
+    """Times are microseconds, sizes bytes."""
+
+    edge_connections: int
+    server_connections: int
+    server_idle: int  # an idle connection to a real server is dropped before the server drops it
+    dial: int
+    head: int = 16 * 1024
+    body: int = 64 * 1024
+    answer_body: int = 1024 * 1024  # of discovery's lists and of what real servers answer
+    identity: int = 128  # characters of a flow's id
+    answer_margin: int = 5 * MS  # the module's deadline comes so long before the client's
+    probe: int = 250 * MS
+    give_up: int = 2 * SECOND  # for the answer to a DELETE
+    edge_idle: int = 75 * SECOND
+    edge_read: int = 10 * SECOND  # from a message's first byte to its last
+    watch_wait: int = 20 * SECOND  # discovery may hold a watch so long
+    watch_grace: int = 2 * SECOND  # and answers so much later at the latest
+    linger: int = 450 * MS  # after SIGTERM, connections still come for up to 400 ms
+    farewell: int = 50 * MS  # for the last answers to leave before the program ends
+    backlog: int = 511
+
+    @classmethod
+    def of(cls, told: Settings, sockets: int) -> Limits:
+        usable = max(16, sockets - SPARE_DESCRIPTORS)
+        return cls(
+            edge_connections=usable * 5 // 8, server_connections=usable * 3 // 8, dial=told.connect_timeout,
+            server_idle=max(told.keepalive // 2, told.keepalive - 500 * MS),
+        )
--- /dev/null
+++ b/violetsaddle/net/node.py
@@ -0,0 +1,122 @@
+"""Wires the parts of one node together, starts it and shuts it down."""
+
+from __future__ import annotations
+
+import gc
+import signal
+from collections.abc import Mapping, Sequence
+from dataclasses import dataclass
+from typing import Any
+
+from twisted.internet.error import CannotListenError
+
+from violetsaddle import interface as api
+from violetsaddle.net.counters import Counters
+from violetsaddle.net.deadlines import Deadlines, Reactor
+from violetsaddle.net.discovery import Discovery
+from violetsaddle.net.edge import EdgeFactory, Shared
+from violetsaddle.net.flows import Flows
+from violetsaddle.net.limits import Limits
+from violetsaddle.net.servers import Servers
+
+
+@dataclass(frozen=True)
+class Config:
+    """What a node is told at its start."""
+
+    name: str
+    listen: tuple[str, int]
+    discovery: tuple[str, int]
+    seed: int
+    sockets: int
+    known: Any
+    told: api.Settings
+    fields: Mapping[str, str]  # names of load report values on the wire, and what they mean
+    classes: Sequence[str]
+    tenants: Sequence[str]
+    zones: Sequence[str]
+    kinds: Sequence[str]
+
+
+class Node:
+    def __init__(self, reactor: Reactor, config: Config) -> None:
+        self._reactor, self._config = reactor, config
+        self.limits = Limits.of(config.told, config.sockets)
+        self.counters = Counters(config.name)
+        self.deadlines = Deadlines(reactor, self.counters.fault)
+        self.flows = Flows(config.told, config.classes, config.tenants, config.seed, self.limits,
+                           self.deadlines, self.counters)
+        self.servers = Servers(reactor, self.limits, self.deadlines, self.counters, self.flows, config.told,
+                               config.fields)
+        self.discovery = Discovery(reactor, self.limits, self.deadlines, self.counters, self.flows,
+                                   self.servers, config.discovery, config.zones, config.kinds)
+        self.flows.carrier, self.flows.watcher = self.servers, self.discovery
+        self.edge = EdgeFactory(Shared(self.flows, self.limits, self.deadlines, self.counters,
+                                       self.servers.report))
+        self._port: Any = None  # None: not listening
+        self._stopping = False
+
+    def start(self) -> None:
+        """Listens; raises `CannotListenError`, or `BadList` where the known list can't be read."""
+        if self._config.known:
+            self.discovery.take(self._config.known, api.DISK)
+        host, port = self._config.listen
+        self._port = self._reactor.listenTCP(port, self.edge, self.limits.backlog, host)
+        self.edge.hold = self._hold
+        for number, what in ((signal.SIGTERM, self.stop), (signal.SIGINT, self.stop),
+                             (signal.SIGUSR1, self.counters.show)):
+            signal.signal(number, lambda *_, what=what: self._reactor.callFromThread(what))
+        # What lives as long as the program is no work for the collector.
+        gc.collect()
+        gc.freeze()
+        gc.set_threshold(20_000, 20, 50)
+        at = self._port.getHost()
+        self.counters.say(f"listening on {at.host}:{at.port}")
+
+    def _hold(self, held: bool) -> None:
+        if self._port is not None:
+            if held:
+                self._port.stopReading()
+            else:
+                self._port.startReading()
+
+    def stop(self) -> None:
+        """First goes on as before: clients and the front learn of it only after a while."""
+        if not self._stopping:
+            self._stopping = True
+            self.counters.say("stopping")
+            self.deadlines.after(self.limits.linger, self._close)
+
+    def _close(self) -> None:
+        """What is owed is still finished; real servers call back at the node's address, so it stays open
+        for them until then."""
+        self.edge.closing = True
+        self.edge.close_soon(callers_too=False)
+        self.flows.when_idle = self._finish
+        if not len(self.flows):
+            self._finish()
+
+    def _finish(self) -> None:
+        """Nothing is owed any more."""
+        self.flows.when_idle = None
+        self.discovery.stop()
+        self.edge.close_soon(callers_too=True)
+        if self._port is not None:
+            self._port.stopListening()
+            self._port = None
+        self.deadlines.after(self.limits.farewell, self._reactor.stop)
+
+
+def run(config: Config) -> int:
+    from twisted.internet import reactor  # the default one: epoll where there is epoll
+
+    node = Node(reactor, config)
+    try:
+        node.start()
+    except CannotListenError as error:
+        node.counters.say(f"listen: {error}")
+        return 1
+    running: Reactor = reactor
+    running.run(installSignalHandlers=False)
+    node.counters.show()
+    return 0
--- /dev/null
+++ b/violetsaddle/net/servers.py
@@ -0,0 +1,393 @@
+"""Connections to real servers: schedulings, probes and the DELETE that ends a scheduling early."""
+
+from __future__ import annotations
+
+import json
+from collections.abc import Callable, Coroutine, Mapping, Sequence
+from typing import Any
+from zlib import crc32
+
+from twisted.internet.defer import CancelledError, Deferred, succeed
+from twisted.internet.endpoints import TCP4ClientEndpoint
+from twisted.internet.interfaces import IAddress, IPullProducer
+from twisted.internet.protocol import Factory, Protocol, connectionDone
+from twisted.python.failure import Failure as Reason
+from zope.interface import implementer  # type: ignore[import-untyped]
+
+from violetsaddle import interface as api
+from violetsaddle.net import http
+from violetsaddle.net.counters import Counters
+from violetsaddle.net.deadlines import Deadline, Deadlines, Reactor, Transport, monotonic
+from violetsaddle.net.flows import Flows, Order, Scheduling
+from violetsaddle.net.limits import Limits
+from violetsaddle.net.slots import SlotTable
+
+
+class NotConnected(Exception):
+    """No connection came up: nothing was sent."""
+
+
+class Broken(Exception):
+    """The connection ended before a whole answer; `written`: the message's last byte had gone out."""
+
+    def __init__(self, written: bool) -> None:
+        super().__init__("the connection broke")
+        self.written = written
+
+
+class RealServer:
+    """A real server as discovery names it."""
+
+    __slots__ = ("name", "number", "host", "port", "idle", "listed")
+
+    def __init__(self, name: str, number: int) -> None:
+        self.name, self.number, self.host, self.port = name, number, "", 0
+        self.idle: list[int] = []  # numbers of connections, the one used last at the end
+        self.listed = False
+
+    @property
+    def address(self) -> str:
+        return f"{self.host}:{self.port}"
+
+
+@implementer(IPullProducer)
+class ServerConnection(Protocol):
+    """One connection to a real server or to discovery; it carries one exchange at a time."""
+
+    transport: Transport
+
+    def __init__(self, limits: Limits, ended: Callable[[ServerConnection], None]) -> None:
+        self._limits, self._ended = limits, ended
+        self.number = -1
+        self.server: RealServer | None = None
+        self.due: Deadline | None = None
+        self._parser = http.Parser(limits, limits.answer_body, answers=True)
+        self._answer: Deferred[http.Message] | None = None
+        self._message: Sequence[bytes] | None = None
+        self._written = False
+        self._on_written: Callable[[], None] | None = None
+        self.open = False
+
+    def connectionMade(self) -> None:
+        self.open = True
+        self.transport.setTcpNoDelay(True)
+
+    def exchange(self, message: Sequence[bytes],
+                 on_written: Callable[[], None] | None = None) -> Deferred[http.Message]:
+        """Sends a message and gives its answer; fails with `Broken`.  Cancelling it closes the connection."""
+        answer: Deferred[http.Message] = Deferred(lambda _: self.transport.abortConnection())
+        self._answer, self._message, self._written, self._on_written = answer, message, False, on_written
+        if not self.open:
+            self._fail()
+        else:
+            # As a pull producer we are asked for more once the kernel has taken the last byte.
+            self.transport.registerProducer(self, False)
+        return answer
+
+    def resumeProducing(self) -> None:
+        if self._message is not None:
+            message, self._message = self._message, None
+            self.transport.writeSequence(message)
+            return
+        self.transport.unregisterProducer()
+        self._written = True
+        if self._on_written is not None:
+            self._on_written()
+
+    def stopProducing(self) -> None:
+        """The connection is lost: `connectionLost` tells of it."""
+
+    def dataReceived(self, data: bytes) -> None:
+        try:
+            self._parser.feed(data)
+            message = self._parser.next() if self._answer is not None else None
+            if message is None:
+                if self._answer is None:
+                    self.transport.abortConnection()  # nothing was asked
+                return
+            if not message.keeps_alive or self._parser.held or not self._written:
+                self.open = False
+                self.transport.loseConnection()
+            self._give(message)
+        except http.Malformed:
+            self.transport.abortConnection()
+
+    def _give(self, message: http.Message) -> None:
+        answer, self._answer = self._answer, None
+        if answer is not None:
+            answer.callback(message)
+
+    def _fail(self) -> None:
+        answer, self._answer = self._answer, None
+        if answer is not None:
+            answer.errback(Broken(self._written))
+
+    def connectionLost(self, reason: Reason = connectionDone) -> None:
+        self.open = False
+        whole = self._parser.finish()
+        if whole is not None:
+            self._give(whole)
+        self._fail()
+        self._ended(self)
+
+
+class _Dialled(Factory):
+    noisy = False
+
+    def __init__(self, build: Callable[[], ServerConnection]) -> None:
+        self._build = build
+
+    def buildProtocol(self, addr: IAddress | None) -> ServerConnection:
+        return self._build()
+
+
+async def dial(reactor: Reactor, deadlines: Deadlines, wait: int, host: str, port: int,
+               build: Callable[[], ServerConnection]) -> ServerConnection:
+    """A new connection, or `NotConnected` when it does not come up in time."""
+    endpoint = TCP4ClientEndpoint(reactor, host, port, timeout=2 * wait / 1e6 + 1)
+    factory: Any = _Dialled(build)
+    coming: Any = endpoint.connect(factory)
+    timed_out = False
+
+    def too_late() -> None:
+        nonlocal timed_out
+        timed_out = True
+        coming.cancel()
+
+    late = deadlines.after(wait, too_late)
+    try:
+        connection: ServerConnection = await coming
+    except CancelledError:
+        if timed_out:
+            raise NotConnected from None
+        raise
+    except Exception:
+        raise NotConnected from None
+    finally:
+        deadlines.drop(late)
+    return connection
+
+
+class Servers:
+    """All real servers known; implements `flows.Carrier`."""
+
+    def __init__(self, reactor: Reactor, limits: Limits, deadlines: Deadlines, counters: Counters,
+                 flows: Flows, told: api.Settings, fields: Mapping[str, str]) -> None:
+        self._reactor, self._limits, self._deadlines = reactor, limits, deadlines
+        self._counters, self._flows, self._fields = counters, flows, fields
+        self._by_name: dict[str, RealServer] = {}
+        self._by_number: dict[int, RealServer] = {}
+        self._connections: SlotTable[ServerConnection] = SlotTable()
+        self._dialling = 0
+        self._probe_path = "/metrics/load" if told.report_by_probe else "/alive"
+
+    # The list.
+
+    def number_of(self, name: str) -> int:
+        """A number for a name, the same at every node and start unless two names collide."""
+        server = self._by_name.get(name)
+        if server is None:
+            number = crc32(name.encode())
+            while number in self._by_number:
+                number = (number + 1) & 0xFFFFFFFF
+            server = self._by_name[name] = self._by_number[number] = RealServer(name, number)
+        return server.number
+
+    def listed(self, addresses: Mapping[str, tuple[str, int]], gone: Sequence[str], whole: bool) -> None:
+        """Takes in where real servers are; `whole`: those not named have gone."""
+        for name, (host, port) in addresses.items():
+            server = self._by_number[self.number_of(name)]
+            if (server.host, server.port) != (host, port):
+                self._drop_idle(server)
+            server.host, server.port, server.listed = host, port, True
+        left = set(gone) | ({n for n in self._by_name if n not in addresses} if whole else set())
+        for name in left:
+            if name in self._by_name:
+                self._drop_idle(self._by_name[name])
+                self._by_name[name].listed = False
+
+    def _drop_idle(self, server: RealServer) -> None:
+        for number in server.idle:
+            connection = self._connections.get(number)
+            if connection is not None:
+                self._close(connection)
+        server.idle.clear()
+
+    # Connections.
+
+    def _close(self, connection: ServerConnection) -> None:
+        connection.open = False
+        self._deadlines.drop(connection.due)
+        connection.transport.loseConnection()
+
+    def _lost(self, connection: ServerConnection) -> None:
+        self._deadlines.drop(connection.due)
+        self._connections.free(connection.number)
+        if connection.server is not None and connection.number in connection.server.idle:
+            connection.server.idle.remove(connection.number)
+
+    async def _connect(self, server: RealServer) -> ServerConnection:
+        while server.idle:
+            connection = self._connections.get(server.idle.pop())
+            if connection is not None and connection.open:
+                self._deadlines.drop(connection.due)
+                return connection
+        if not server.port or not self._room():
+            raise NotConnected
+        self._dialling += 1
+        try:
+            connection = await dial(
+                self._reactor, self._deadlines, self._limits.dial, server.host, server.port,
+                lambda: ServerConnection(self._limits, self._lost))
+        finally:
+            self._dialling -= 1
+        connection.number, connection.server = self._connections.put(connection), server
+        self._counters.add("server_connections")
+        return connection
+
+    def _room(self) -> bool:
+        """Whether a descriptor may be used; at the limit the longest idle connection makes room."""
+        if len(self._connections) + self._dialling < self._limits.server_connections:
+            return True
+        longest = [c for s in self._by_name.values() if s.idle
+                   and (c := self._connections.get(s.idle[0])) is not None and c.due is not None]
+        if not longest:
+            return False
+        oldest = min(longest, key=lambda c: c.due.at if c.due is not None else 0)
+        if oldest.server is not None:
+            oldest.server.idle.remove(oldest.number)
+        self._close(oldest)
+        return True
+
+    def _keep(self, connection: ServerConnection) -> None:
+        """Back among the idle, dropped before the real server would drop it."""
+        server = connection.server
+        if not connection.open or server is None:
+            return
+        if not server.listed:
+            self._close(connection)
+            return
+        server.idle.append(connection.number)
+        number = connection.number
+
+        def idled() -> None:
+            # Guards against a request written just as the real server closes: that ends as a reset.
+            idle = self._connections.get(number)
+            if idle is not None and number in server.idle:
+                server.idle.remove(number)
+                self._close(idle)
+
+        connection.due = self._deadlines.after(self._limits.server_idle, idled)
+
+    async def _exchange(self, server: RealServer, message: Callable[[], Sequence[bytes]],
+                        on_written: Callable[[], None] | None = None) -> http.Message:
+        connection = await self._connect(server)
+        answer = await connection.exchange(message(), on_written)
+        self._keep(connection)
+        return answer
+
+    def _start(self, work: Coroutine[Deferred[Any], Any, None]) -> Deferred[None]:
+        done: Deferred[None] = Deferred.fromCoroutine(work)
+        done.addErrback(self._failed)
+        return done
+
+    def _failed(self, reason: Reason) -> None:
+        if not isinstance(reason.value, (CancelledError, NotConnected, Broken)):
+            self._counters.fault("work for a real server failed", reason.value)
+
+    # What the flows ask for.
+
+    def carry(self, scheduling: Scheduling, order: Order, until: int) -> None:
+        scheduling.ticket = self._start(self._carry(scheduling, order, until))
+
+    async def _carry(self, scheduling: Scheduling, order: Order, until: int) -> None:
+        server = self._by_number.get(scheduling.server)
+        if server is None:
+            self._flows.ended(scheduling, api.CONNECT_FAILED)
+            return
+        scheduling.name = server.name
+
+        def written() -> None:
+            scheduling.written = True
+
+        try:
+            answer = await self._exchange(
+                server, lambda: order.message(server.address, until - monotonic()), written)
+        except NotConnected:
+            self._flows.ended(scheduling, api.CONNECT_FAILED)
+        except Broken as broken:
+            # Guards against a repeat of what may have run: only an unwritten last byte proves it has not.
+            self._flows.ended(scheduling, api.RESET if broken.written else api.CONNECT_FAILED)
+        else:
+            if answer.status == 202:
+                scheduling.accepted = True
+                return
+            full = answer.status in (503, 504) and answer.header("x-turned-away") == "1"
+            self._flows.ended(scheduling, api.FULL if full else api.ERROR,
+                              self.report(answer.header("x-pressure")))
+
+    def give_up(self, scheduling: Scheduling) -> Deferred[None]:
+        ticket, scheduling.ticket = scheduling.ticket, None
+        if ticket is not None and not scheduling.accepted:
+            ticket.cancel()
+        server = self._by_number.get(scheduling.server)
+        if not scheduling.written or server is None:
+            return succeed(None)
+        # Also before a 202: one that has crossed the closing would leave the job running.
+        out: Deferred[None] = Deferred()
+
+        def told() -> None:
+            if not out.called:
+                out.callback(None)
+
+        self._counters.add("deletes")
+        deleting = self._start(self._delete(server, scheduling.job, told))
+        late = self._deadlines.after(self._limits.give_up, deleting.cancel)
+
+        def over(_: object) -> None:
+            self._deadlines.drop(late)
+            told()
+
+        deleting.addBoth(over)
+        return out
+
+    async def _delete(self, server: RealServer, job: str, told: Callable[[], None]) -> None:
+        await self._exchange(server, lambda: [http.request("DELETE", f"/jobs/{job}", server.address)], told)
+
+    def probe(self, server: int) -> None:
+        real = self._by_number.get(server)
+        probing = self._start(self._probe(real, server))
+        late = self._deadlines.after(self._limits.probe, probing.cancel)
+        probing.addBoth(lambda _: self._deadlines.drop(late))
+
+    async def _probe(self, server: RealServer | None, number: int) -> None:
+        ok, report = False, None
+        try:
+            if server is not None:
+                answer = await self._exchange(
+                    server, lambda: [http.request("GET", self._probe_path, server.address)])
+                ok = answer.status == 200
+                report = self.report(bytes(answer.body).decode("utf-8", "replace")) if ok else None
+        except (NotConnected, Broken, CancelledError):
+            pass
+        self._flows.probed(number, ok, report)
+
+    # Load reports.
+
+    def report(self, load: object) -> api.Report | None:
+        """A load report by what its values mean; None where there is none that can be read."""
+        if isinstance(load, str):
+            try:
+                load = (json.loads(load) if load.lstrip().startswith("{")
+                        else dict(pair.split("=", 1) for pair in load.strip().split(",")))
+            except (ValueError, RecursionError):
+                return None
+        if not isinstance(load, dict):
+            return None
+        named = {}
+        for name, value in load.items():
+            try:
+                named[self._fields.get(str(name).strip(), str(name).strip())] = float(value)
+            except (TypeError, ValueError):
+                self._counters.add("bad_reports")
+        return named or None
--- a/violetsaddle/policy.py
+++ b/violetsaddle/policy.py
@@ -1,4 +1,4 @@
-"""Every decision of violetsaddle.  Interface (settings, events, actions, outcomes): violetsaddle/interface.py.
+"""Every decision of violetsaddle.  Interface (settings, events, actions, outcomes): interface.py.
 
 The ordinary path of a request, in `Balancer.request`: its tenant's bucket (`TokenBucket`, refilled at
 share x fleet slot rate / N schedulers) pays for its slots and it is pushed.  An over-bucket job is pushed
