--- a/tests/test_benchlink.py
+++ b/tests/test_benchlink.py
@@ -82,7 +82,7 @@
 def test_same_actions_whatever_the_hash_seed() -> None:
     text = START + "".join(f"CLOCK {9000 + n}\nINCOMING scheduler/0 c:{n} 0 - {n} 1 - 0 0 - 900000 0\nFLUSH\n"
                            for n in range(50))
-    outs = {subprocess.run([sys.executable, "-m", "violetsaddle.benchlink"], input=text, text=True, timeout=60,
-                           capture_output=True, env={"PYTHONHASHSEED": str(seed)}).stdout
+    outs = {subprocess.run([sys.executable, "-m", "violetsaddle.benchlink"], input=text, text=True,
+                           timeout=60, capture_output=True, env={"PYTHONHASHSEED": str(seed)}).stdout
             for seed in range(3)}
     assert len(outs) == 1
--- a/violetsaddle/__main__.py
+++ b/violetsaddle/__main__.py
@@ -4,6 +4,7 @@
 
 import json
 import os
+import resource
 import sys
 from typing import Any
 
@@ -55,7 +56,8 @@
     return Config(
         name=str(os.environ.get("RELAY_NAME") or table.get("name") or "node"),
         listen=at(table, "listen", "RELAY_LISTEN"), discovery=at(table, "discovery", "RELAY_DISCOVERY"),
-        seed=seed, sockets=whole(limits, "sockets", 1024), known=table.get("known"), told=told, fields=fields,
+        seed=seed, sockets=min(whole(limits, "sockets", 1024), resource.getrlimit(resource.RLIMIT_NOFILE)[0]),
+        known=table.get("known"), told=told, fields=fields,
         classes=settings.names(env, "requestClasses"), tenants=settings.names(env, "tenants"),
         zones=settings.names(env, "failureDomains"), kinds=settings.names(env, "kinds"))
 
--- a/violetsaddle/net/counters.py
+++ b/violetsaddle/net/counters.py
@@ -24,7 +24,10 @@
         self.say(text + ": " + "".join(traceback.format_exception(error)))
 
     def say(self, text: str) -> None:
-        print(f"{self.name}: {text}", file=sys.stderr, flush=True)
+        try:
+            print(f"{self.name}: {text}", file=sys.stderr, flush=True)
+        except OSError:
+            pass  # a log that has gone away is no reason to stop serving
 
     def show(self) -> None:
         self.say("counters " + " ".join(f"{k}={v}" for k, v in sorted(self._counts.items())))
--- a/violetsaddle/net/edge.py
+++ b/violetsaddle/net/edge.py
@@ -91,16 +91,17 @@
 
     transport: Transport
 
-    def __init__(self, shared: Shared, gone: Callable[[EdgeConnection], None]) -> None:
+    def __init__(self, shared: Shared, gone: Callable[[EdgeConnection], None], last: bool) -> None:
         self._shared, self._gone = shared, gone
         self._parser = http.Parser(shared.limits, shared.limits.body)
         self.number = -1
         self._flow = -1
         self._awaited = False  # a flow's final answer is still to come
         self._closing = False  # the answer written last says so
-        self._close_next = False  # the present request is the last one
+        self._close_next = last  # the present request is the last one
         self._continued = False
         self._lost = False
+        self._reading = False
         self.calls_back = False  # a real server's
         self._due: Deadline | None = None
 
@@ -145,10 +146,11 @@
         self._closing = True
         self.transport.loseConnection()
 
-    def close_soon(self) -> None:
-        """An idle one closes now, another with its answer."""
+    def close_soon(self, unread_too: bool = False) -> None:
+        """An idle one closes now, another with its answer; `unread_too`: also one whose request has not
+        come whole."""
         self._close_next = True
-        if self.idle:
+        if self.idle or (unread_too and not self._awaited):
             self.end()
 
     def dataReceived(self, data: bytes) -> None:
@@ -173,14 +175,29 @@
         self._shared.counters.add("bad_messages")
         if self._awaited:
             self._abort()  # the answer owed can't be given in its turn any more
-        else:
-            self._answer(error.status, error.text.encode(), close=True)
+            return
+        self._closing = True
+        self._shared.counters.add(f"answer_{error.status}")
+        self.transport.write(http.answer(error.status, error.text.encode(), close=True))
+        # Guards against a reset that overtakes the answer: what still comes is read and passed over.
+        self.transport.loseWriteConnection()
+        self._wait(self._shared.limits.drain)
 
     def _abort(self) -> None:
         self._closing = True
         self.transport.abortConnection()
 
     def _read(self, fresh: bool) -> None:
+        # Guards against recursion: an answer given at once must not read the next request in here again.
+        if self._reading:
+            return
+        self._reading = True
+        try:
+            self._read_all(fresh)
+        finally:
+            self._reading = False
+
+    def _read_all(self, fresh: bool) -> None:
         while not self._awaited and not self._closing:
             message = self._parser.next()
             if message is None:
@@ -279,7 +296,7 @@
             return
         self._awaited, self._flow = False, -1
         self._answer(status, body, headers)
-        if self._parser.held and not self._closing:
+        if self._parser.held and not self._closing and not self._reading:
             self.dataReceived(b"")
 
     def _answer(self, status: int, body: bytes = b"", headers: str = "", close: bool = False) -> None:
@@ -299,29 +316,39 @@
 
     def __init__(self, shared: Shared) -> None:
         self.shared = shared
-        self.closing = False
+        self.closing = False  # each answer from now on is its connection's last
         self.hold: Callable[[bool], None] = lambda held: None  # stops and resumes accepting
         self._held = False
+        self.when_empty: Callable[[], None] | None = None
 
     def buildProtocol(self, addr: IAddress | None) -> EdgeConnection:
         connections = self.shared.connections
         if len(connections) + 1 >= self.shared.limits.edge_connections:
             for connection in connections:
-                if connection.idle:
+                # Not a real server's: at the limit it could not come back to tell how a flow ends.
+                if connection.idle and not connection.calls_back:
                     connection.end()
                     break
             else:
                 # None is idle: new ones wait in the backlog until one has ended.
                 self._held = True
                 self.hold(True)
-        return EdgeConnection(self.shared, self._gone)
+        return EdgeConnection(self.shared, self._gone, self.closing)
 
     def _gone(self, connection: EdgeConnection) -> None:
-        if self._held and not self.closing:
+        if self._held:
             self._held = False
             self.hold(False)
+        if self.when_empty is not None and not len(self.shared.connections):
+            self.when_empty()
 
-    def close_soon(self, callers_too: bool) -> None:
+    def close_soon(self) -> None:
+        """Clients' connections close when idle; real servers still need theirs."""
+        self.closing = True
         for connection in self.shared.connections:
-            if callers_too or not connection.calls_back:
+            if not connection.calls_back:
                 connection.close_soon()
+
+    def close_all(self) -> None:
+        for connection in self.shared.connections:
+            connection.close_soon(unread_too=True)
--- a/violetsaddle/net/http.py
+++ b/violetsaddle/net/http.py
@@ -9,6 +9,8 @@
 
 END = b"\r\n\r\n"
 TOKEN = frozenset(b"!#$%&'*+-.^_`|~0123456789abcdefghijklmnopqrstuvwxyzABCDEFGHIJKLMNOPQRSTUVWXYZ")
+CONTROLS = frozenset(range(0x20)) - {0x09} | {0x7F}
+HEX = frozenset(b"0123456789abcdefABCDEF")
 REASONS = {
     100: "Continue", 200: "OK", 202: "Accepted", 204: "No Content", 400: "Bad Request", 404: "Not Found",
     405: "Method Not Allowed", 408: "Request Timeout", 413: "Content Too Large", 429: "Too Many Requests",
@@ -158,7 +160,7 @@
             return parts[0], parts[1], ""
         if len(parts) != 3 or not parts[0] or not parts[0].isalpha() or not parts[1]:
             raise Malformed(400, "not an HTTP request")
-        if any(c < 0x21 or c == 0x7F for c in parts[1].encode("ascii")):
+        if not CONTROLS.isdisjoint(parts[1].encode("ascii")):
             raise Malformed(400, "the target holds control characters")
         if parts[2] not in ("HTTP/1.1", "HTTP/1.0"):
             raise Malformed(505 if parts[2].startswith("HTTP/") else 400, "the version is not HTTP/1.1")
@@ -174,7 +176,7 @@
             first += 1
         while last > first and buffer[last - 1] in b" \t":
             last -= 1
-        if any(c < 0x20 and c != 0x09 or c == 0x7F for c in buffer[first:last]):
+        if not CONTROLS.isdisjoint(buffer[first:last]):
             raise Malformed(400, "a header holds control characters")
         self._fields.append((at, colon, first, last))
 
@@ -222,7 +224,7 @@
                     raise Malformed(431, "the trailers are too large")
                 continue
             size = bytes(buffer[self._read_at:stop]).split(b";")[0].strip()
-            if not size or len(size) > 8 or not frozenset(b"0123456789abcdefABCDEF").issuperset(size):
+            if not size or len(size) > 8 or not HEX.issuperset(size):
                 raise Malformed(400, "bad chunk size")
             length = int(size, 16)
             if self._kept - self._body_at + length > self._most_body:
--- a/violetsaddle/net/limits.py
+++ b/violetsaddle/net/limits.py
@@ -31,13 +31,14 @@
     watch_wait: int = 20 * SECOND  # discovery may hold a watch so long
     watch_grace: int = 2 * SECOND  # and answers so much later at the latest
     linger: int = 450 * MS  # after SIGTERM, connections still come for up to 400 ms
-    farewell: int = 50 * MS  # for the last answers to leave before the program ends
+    drain: int = SECOND  # a refused message's rest is read so long, or the answer might not arrive
+    farewell: int = SECOND  # for the last answers to leave before the program ends
     backlog: int = 511
 
     @classmethod
     def of(cls, told: Settings, sockets: int) -> Limits:
         usable = max(16, sockets - SPARE_DESCRIPTORS)
         return cls(
-            edge_connections=usable * 5 // 8, server_connections=usable * 3 // 8, dial=told.connect_timeout,
+            edge_connections=usable * 5 // 8, server_connections=usable // 3, dial=told.connect_timeout,
             server_idle=max(told.keepalive // 2, told.keepalive - 500 * MS),
         )
--- a/violetsaddle/net/node.py
+++ b/violetsaddle/net/node.py
@@ -54,7 +54,7 @@
         self.edge = EdgeFactory(Shared(self.flows, self.limits, self.deadlines, self.counters,
                                        self.servers.report))
         self._port: Any = None  # None: not listening
-        self._stopping = False
+        self._stopping = self._ended = False
 
     def start(self) -> None:
         """Listens; raises `CannotListenError`, or `BadList` where the known list can't be read."""
@@ -90,8 +90,7 @@
     def _close(self) -> None:
         """What is owed is still finished; real servers call back at the node's address, so it stays open
         for them until then."""
-        self.edge.closing = True
-        self.edge.close_soon(callers_too=False)
+        self.edge.close_soon()
         self.flows.when_idle = self._finish
         if not len(self.flows):
             self._finish()
@@ -100,11 +99,19 @@
         """Nothing is owed any more."""
         self.flows.when_idle = None
         self.discovery.stop()
-        self.edge.close_soon(callers_too=True)
         if self._port is not None:
             self._port.stopListening()
             self._port = None
-        self.deadlines.after(self.limits.farewell, self._reactor.stop)
+        self.edge.when_empty = self._end
+        self.edge.close_all()
+        self.deadlines.after(self.limits.farewell, self._end)
+        if not len(self.edge.shared.connections):
+            self._end()
+
+    def _end(self) -> None:
+        if not self._ended:
+            self._ended = True
+            self._reactor.callLater(0, self._reactor.stop)
 
 
 def run(config: Config) -> int:
--- a/violetsaddle/net/servers.py
+++ b/violetsaddle/net/servers.py
@@ -179,6 +179,7 @@
         self._by_number: dict[int, RealServer] = {}
         self._connections: SlotTable[ServerConnection] = SlotTable()
         self._dialling = 0
+        self._may_cancel = told.may_cancel
         self._probe_path = "/metrics/load" if told.report_by_probe else "/alive"
 
     # The list.
@@ -331,7 +332,7 @@
         if ticket is not None and not scheduling.accepted:
             ticket.cancel()
         server = self._by_number.get(scheduling.server)
-        if not scheduling.written or server is None:
+        if server is None or not self._may_cancel or not (scheduling.written or scheduling.accepted):
             return succeed(None)
         # Also before a 202: one that has crossed the closing would leave the job running.
         out: Deferred[None] = Deferred()
