Test the real program by scenarios: send, expect, close, wait

tests/scenario.py starts the program on ephemeral loopback ports and plays clients, real servers and discovery by script; tests/test_node.py holds the scenarios, one for each thing the node must not get wrong. An address may have port 0 for listening (any free one), which the scenarios use.

--- /dev/null
+++ b/tests/scenario.py
@@ -0,0 +1,243 @@
+"""A small scenario language.  It starts the real program and plays everybody round it by script.
+
+A scenario is text; a line reads PARTY VERB WORDS:
+
+    c send POST /api | X-Txn: a | | body     a client's message; ` | ` ends a line, `LONG(n)` is n bytes
+    c expect 200 | !Retry-After | hello      the next message holds these texts, and those after ! not
+    c close                                  the party closes its connection
+    c wait                                   until the other side has closed
+
+Parties: `c`, `c1`, ... are clients; `s` is whichever real server hears next, `was` the one it heard before
+that; `d` is discovery; `node` takes signals and tells its log and its end.  Shorthands: `c send job ID LANE`,
+`s send 202`, `s call ID STATE` (a callback, with `result=...` or `share=...`; `call+` expects its 204),
+`d send list VERSION s-1=up ...`."""
+
+from __future__ import annotations
+
+import json
+import os
+import re
+import select
+import signal
+import socket
+import subprocess
+import sys
+import tempfile
+import unittest
+from collections.abc import Sequence
+from typing import Any
+
+PATIENCE = 20.0  # seconds until a scenario that waits for what never comes has failed
+CLASSES = [
+    {"name": "quote", "target": 200_000, "deadline": 5_000_000, "idempotency": "retryable"},
+    {"name": "charge", "target": 200_000, "deadline": 5_000_000, "idempotency": "dedup", "group": "zone",
+     "dedupWindow": 5_000_000},
+    {"name": "settle", "target": 200_000, "deadline": 5_000_000, "idempotency": "fragile"},
+]
+SETTINGS: dict[str, Any] = {
+    "requestClasses": CLASSES, "tenants": [{"name": "acme", "share": 1.0}], "failureDomains": ["east"],
+    "kinds": ["box"], "discovery": "push", "period": 1000, "familyInfo": {"reportX0": "free slots"},
+    "permissions": {"cancel": True, "retryAfter": True, "mostTries": 3, "keepalive": 60_000_000},
+}
+JOB = "POST /api | X-Txn: {} | X-Lane: {} | X-Org: acme | X-Remaining: 20000m | Idempotency-Key: k1 | | body"
+
+
+def listener() -> socket.socket:
+    made = socket.create_server(("127.0.0.1", 0))
+    made.settimeout(PATIENCE)
+    return made
+
+
+def address(sock: socket.socket) -> str:
+    return f"127.0.0.1:{sock.getsockname()[1]}"
+
+
+class Line:
+    """One connection, read message by message."""
+
+    def __init__(self, sock: socket.socket, name: str = "") -> None:
+        self.sock, self.name, self.held = sock, name, b""
+        sock.settimeout(PATIENCE)
+
+    def message(self) -> str:
+        while True:
+            head, mark, rest = self.held.partition(b"\r\n\r\n")
+            length = re.search(rb"(?i)content-length: (\d+)", head)
+            need = int(length[1]) if length else 0
+            if mark and len(rest) >= need:
+                self.held = rest[need:]
+                return (head + mark + rest[:need]).decode("latin-1")
+            data = self.sock.recv(65536)
+            if not data:
+                raise AssertionError(f"closed after {self.held[:200]!r}")
+            self.held += data
+
+
+class Scenario(unittest.TestCase):
+    """Starts the program with `settings` and `config` changed, plays a text, and ends the program."""
+
+    def start(self, settings: dict[str, Any] | None = None, servers: int = 2, **config: Any) -> None:
+        self.servers = {f"s-{n}": listener() for n in range(1, servers + 1)}
+        self.discovery = listener()
+        self.lines: dict[str, Line] = {}
+        self.heard: list[Line] = []  # real servers' connections, the one heard last at the end
+        self.where = {n: address(s) for n, s in self.servers.items()}
+        table = {"name": "n1", "listen": "127.0.0.1:0", "seed": "5", "limits": {"sockets": 1024},
+                 "discovery": address(self.discovery),
+                 "known": self.list(1, [f"{n}=up" for n in self.servers]),
+                 "settings": {**SETTINGS, **(settings or {})}, **config}
+        self.run_program(json.dumps(table))
+        self.port = int(self.log("listening on")[0].rpartition(":")[2])
+
+    def run_program(self, config: str) -> None:
+        with tempfile.NamedTemporaryFile("w", suffix=".json", delete=False) as file:
+            file.write(config)
+        self.addCleanup(os.unlink, file.name)
+        env = {k: v for k, v in os.environ.items() if not k.startswith("RELAY_")}
+        self.program = subprocess.Popen([sys.executable, "-m", "violetsaddle"], stderr=subprocess.PIPE,
+                                        env={**env, "RELAY_CONFIG": file.name})
+        self.addCleanup(self.end)
+
+    def end(self) -> None:
+        self.program.kill()
+        self.program.wait()
+        assert self.program.stderr is not None
+        self.program.stderr.close()
+        for line in [*self.lines.values(), *self.heard]:
+            line.sock.close()
+        for sock in [*self.servers.values(), self.discovery]:
+            sock.close()
+
+    def log(self, *wanted: str) -> list[str]:
+        """Reads the program's log up to a line that holds the first text; the others must be in it."""
+        assert self.program.stderr is not None
+        seen = []
+        while line := self.program.stderr.readline().decode():
+            seen.append(line.strip())
+            if wanted[0] in line:
+                self.holds(line, wanted[1:])
+                return [line.strip()]
+        raise AssertionError(f"{wanted[0]!r} never came, but {seen}")
+
+    def holds(self, heard: str, wanted: Sequence[str]) -> None:
+        for text in wanted:
+            if text.startswith("!"):
+                self.assertNotIn(text[1:], heard)
+            else:
+                self.assertIn(text, heard)
+
+    def list(self, version: int, items: list[str], full: bool = True) -> dict[str, Any]:
+        return {"version": version, "full": full, "servers": [
+            {"id": n, "addr": self.where[n], "zone": "east", "kind": "box", "cell": 0, "state": state,
+             "weight": 1.0, "started_ms": 0} for n, _, state in (item.partition("=") for item in items)]}
+
+    def play(self, text: str) -> None:
+        for row in text.strip().splitlines():
+            party, _, rest = row.strip().partition(" ")
+            verb, _, words = rest.strip().partition(" ")
+            if party and not party.startswith("#"):
+                try:
+                    getattr(self, "do_" + verb.rstrip("+"))(party, words.strip(), verb.endswith("+"))
+                except Exception as error:
+                    raise AssertionError(f"at {row.strip()!r}: {error}") from error
+
+    def line(self, party: str) -> Line:
+        if party in ("s", "was"):
+            return self.heard[-1 if party == "s" else -2]
+        if party not in self.lines:
+            sock = (self.discovery.accept()[0] if party == "d"
+                    else socket.create_connection(("127.0.0.1", self.port), PATIENCE))
+            self.lines[party] = Line(sock)
+        return self.lines[party]
+
+    def hear(self) -> Line:
+        """The real server's connection on which something comes next."""
+        while True:
+            sources = {s: n for n, s in self.servers.items() if s.fileno() >= 0}
+            ready, _, _ = select.select([*sources, *(h.sock for h in self.heard if h.sock.fileno() >= 0)], [],
+                                        [], PATIENCE)
+            self.assertTrue(ready, "no real server heard anything")
+            for sock in ready:
+                if sock in sources:
+                    self.heard.insert(0, Line(sock.accept()[0], sources[sock]))
+                    continue
+                line = next(h for h in self.heard if h.sock is sock)
+                try:
+                    closed = not sock.recv(1, socket.MSG_PEEK)
+                except ConnectionResetError:
+                    closed = True
+                if closed:
+                    sock.close()
+                    continue
+                self.heard.remove(line)
+                self.heard.append(line)
+                return line
+
+    # The verbs.
+
+    def do_send(self, party: str, words: str, _: bool) -> None:
+        if party == "node":
+            self.program.send_signal(signal.Signals["SIG" + words])
+            return
+        self.line(party).sock.sendall(self.message(words))
+
+    def message(self, words: str) -> bytes:
+        """The bytes that the words after `send` stand for."""
+        raw, words = words.startswith("RAW "), words.removeprefix("RAW ").replace("\\r\\n", "\r\n")
+        if words.startswith("list "):
+            _, version, *items = words.split(" ")
+            words = "200 | | " + json.dumps(self.list(int(version), items, full=False))
+        if words.startswith("job "):
+            words = JOB.format(*words.split(" ")[1:])
+        words = re.sub(r"LONG\((\d+)\)", lambda m: "x" * int(m[1]), words)
+        head, split, body = words.partition(" | |")
+        body = body.removeprefix(" ")
+        if not raw:
+            first, more, fields = head.partition(" | ")
+            first = f"HTTP/1.1 {first} OK" if first.isdigit() else first + " HTTP/1.1"
+            head, split = first + more + fields, " | |"
+            if "content-length" not in head.lower():
+                head += f" | Content-Length: {len(body.encode())}"
+        return (head.replace(" | ", "\r\n") + ("\r\n\r\n" if split else "") + body).encode()
+
+    def do_expect(self, party: str, words: str, _: bool) -> None:
+        wanted = words.split(" | ")
+        if party == "node":
+            if wanted[0].startswith("exit "):
+                self.assertEqual(self.program.wait(PATIENCE), int(wanted[0][5:]))
+            else:
+                self.log(*wanted)
+            return
+        heard = (self.hear() if party == "s" else self.line(party)).message()
+        if wanted[0][:3].isdigit():
+            self.assertTrue(heard.startswith(f"HTTP/1.1 {wanted.pop(0)} "), heard[:300])
+        self.holds(heard, wanted)
+
+    def do_call(self, party: str, words: str, answered: bool) -> None:
+        job, state, *more = words.split(" ")
+        call: dict[str, Any] = {"id": job, "from": self.line(party).name, "state": state}
+        for pair in more:
+            name, _, value = pair.partition("=")
+            call[name] = float(value) if name == "share" else value
+        name = f"call-{len(self.lines)}"
+        self.do_send(name, "POST /callback | | " + json.dumps(call), False)
+        if answered:
+            self.do_expect(name, "204", False)
+
+    def do_close(self, party: str, words: str, _: bool) -> None:
+        if words == "listener":
+            for sock in self.servers.values():
+                sock.close()
+        else:
+            line = self.line(party)
+            line.sock.close()
+            self.lines.pop(party, None)
+
+    def do_wait(self, party: str, words: str, _: bool) -> None:
+        """Until the other side has closed; a reset is a closing too."""
+        sock = self.line(party).sock
+        try:
+            if sock.fileno() >= 0:  # else its closing was heard before
+                self.assertEqual(sock.recv(65536), b"")
+        except ConnectionResetError:
+            pass
--- /dev/null
+++ b/tests/test_node.py
@@ -0,0 +1,385 @@
+"""Scenarios on the real program: see tests/scenario.py for the language."""
+
+from __future__ import annotations
+
+import json
+import unittest
+
+from tests.scenario import SETTINGS, Scenario, listener
+
+TWO_TRIES = {"permissions": {**SETTINGS["permissions"], "mostTries": 2}}
+PROBING = {"permissions": {**SETTINGS["permissions"], "mayProbe": True},
+           "report": {"names": ["x0", "utilization"], "via": "pull"}}
+
+
+class Serving(Scenario):
+    def test_a_flow_is_served_and_its_connection_serves_again(self) -> None:
+        self.start()
+        self.play("""
+            c send GET /up
+            c expect 200
+            c send POST /api?sid=7f | x-txn: a | X-LANE: charge | X-Org: acme | X-Remaining: 900m | Idempotency-Key: k9 | X-Labels: slots=2 | | 0\\r\\n\\r\\nGET
+            s expect POST /api?sid=7f HTTP/1.1 | a | Idempotency-Key: k9 | X-Remaining: 8 | GET
+            s send 202
+            s call+ a started
+            s call+ a running share=0.5
+            s call+ a done result=priced
+            c expect 200 | Content-Length: 6 | priced
+            c send job b quote
+            s expect POST /api | X-Txn: b
+            s send 202
+            s call b done result=again
+            c expect 200 | again
+        """)  # noqa: E501
+
+    def test_callbacks_before_the_202_repeated_or_of_another(self) -> None:
+        self.start()
+        self.play("""
+            c send job a quote
+            s expect X-Txn: a
+            c2 send POST /callback | | {"id":"a","from":"s-9","state":"done","result":"not mine"}
+            c2 expect 204
+            c2 send POST /callback | | {"id":"zz","from":"s-1","state":"done","result":"no flow"}
+            c2 expect 204
+            s call+ a done result=first
+            s call+ a done result=second
+            c expect 200 | first
+            s send 202
+            c send job b quote
+            s expect X-Txn: b
+            s send 202
+            s call b done result=next
+            c expect 200 | next | !second
+        """)
+
+    def test_a_late_word_on_an_old_scheduling_is_passed_over(self) -> None:
+        self.start()
+        self.play("""
+            c send job a settle
+            s expect X-Txn: a
+            s send 503 | X-Turned-Away: 1
+            s expect X-Txn: a
+            s send 202
+            was call+ a done result=old
+            s call+ a done result=present
+            c expect 200 | present
+        """)
+
+    def test_handed_back_unstarted_goes_on_elsewhere(self) -> None:
+        self.start()
+        self.play("""
+            c send job a settle
+            s expect X-Txn: a
+            s send 202
+            s call+ a returned
+            s expect X-Txn: a | body
+            s send 202
+            s call a done result=moved
+            c expect 200 | moved
+        """)
+
+    def test_split_chunked_and_pipelined_requests(self) -> None:
+        self.start()
+        self.play("""
+            c send RAW POST /api HT
+            c send RAW TP/1.1 | X-Txn: a | X-Lane: quote | X-Org: acme | X-Remaining: 9000m | Transfer-Enc
+            c send RAW oding: chunked | | 3\\r\\nab
+            c send RAW c\\r\\n2;x=y\\r\\nde\\r\\n0\\r\\nTrailer: t\\r\\n\\r\\nGET /up HTTP/1.1\\r\\n\\r\\n
+            s expect X-Txn: a | Content-Length: 5 | abcde | !chunked | !Trailer
+            s send 202
+            s call a done result=whole
+            c expect 200 | whole
+            c expect 200 | ready
+        """)
+
+    def test_a_report_by_probe_is_asked_and_read(self) -> None:
+        self.start(PROBING, servers=1)
+        self.play("""
+            c send job a quote
+            s expect POST /api
+            s send 202
+            s expect GET /metrics/load
+            s send 200 | | x0=2,utilization=0.5
+            s expect GET /metrics/load
+            s send 200 | | nonsense
+            s call a done result=x
+            c expect 200
+            node send TERM
+            node expect exit 0
+            node expect counters | probes=2 | probes_ok=2
+        """)
+
+
+class Failing(Scenario):
+    def test_a_reset_of_what_may_have_run_is_not_sent_again(self) -> None:
+        self.start()
+        self.play("""
+            c send job a settle
+            s expect X-Txn: a
+            s close
+            c expect 502
+            c send job b quote
+            s expect X-Txn: b
+            s close
+            s expect X-Txn: b
+            s send 202
+            s call b done result=safe_to_repeat
+            c expect 200 | safe_to_repeat
+        """)
+
+    def test_no_silent_resend_on_a_kept_connection_that_dies(self) -> None:
+        self.start(servers=1)
+        self.play("""
+            c send job a settle
+            s expect X-Txn: a
+            s send 202
+            s call+ a done result=x
+            c expect 200
+            c send job b settle
+            s expect X-Txn: b
+            s close
+            c expect 502
+        """)
+
+    def test_a_kept_connection_is_dropped_before_the_real_server_would(self) -> None:
+        self.start({"permissions": {**SETTINGS["permissions"], "keepalive": 100_000}}, servers=1)
+        self.play("""
+            c send job a settle
+            s expect X-Txn: a
+            s send 202
+            s wait
+        """)
+
+    def test_a_closing_after_the_202_is_no_outcome(self) -> None:
+        self.start()
+        self.play("""
+            c send job a settle
+            s expect X-Txn: a
+            s send 202 | Connection: close
+            s wait
+            s call+ a done result=still_served
+            c expect 200 | still_served
+        """)
+
+    def test_refused_connections_end_in_a_turn_down_that_says_when_to_come_back(self) -> None:
+        self.start(TWO_TRIES)
+        self.play("""
+            s close listener
+            c send job a settle
+            c expect 503 | Retry-After: 0.0
+            node send USR1
+            node expect counters | outcome_connect_failed=2 | answered_turned_down=1
+        """)
+
+    def test_errors_and_bad_answers_fail_what_must_not_run_twice(self) -> None:
+        self.start()
+        self.play("""
+            c send job a settle
+            s expect X-Txn: a
+            s send 500
+            c expect 502
+            c send job b settle
+            s expect X-Txn: b
+            s send RAW SSH-2.0-box\\r\\n\\r\\n
+            c expect 502
+            c send job d settle
+            s expect X-Txn: d
+            s send 202
+            s call+ d lost
+            c expect 502
+            c send job e settle
+            s expect X-Txn: e
+            s send 202
+            s call+ e done
+            c expect 502
+            c send job f settle
+            s expect X-Txn: f
+            s send 503
+            c expect 502
+        """)
+
+    def test_time_running_out_is_answered_and_told_to_the_real_server(self) -> None:
+        self.start()
+        self.play("""
+            c send POST /api | X-Txn: a | X-Lane: settle | X-Org: acme | X-Remaining: 300000u | | body
+            s expect X-Txn: a | X-Remaining: 2
+            s send 202
+            c expect 504
+            s expect DELETE /jobs/a
+            s send 204
+            c send POST /api | X-Txn: b | X-Lane: quote | X-Org: acme | X-Remaining: 300m | | body
+            s expect X-Txn: b
+            c expect 503 | Retry-After
+            s expect DELETE /jobs/b
+        """)
+
+    def test_a_client_gone_ends_its_scheduling(self) -> None:
+        self.start()
+        self.play("""
+            c send job a settle
+            s expect X-Txn: a
+            s send 202
+            s call+ a started
+            c close
+            s expect DELETE /jobs/a
+            s send 204
+            c2 send job b settle
+            s expect X-Txn: b
+            c2 close
+            s expect DELETE /jobs/b
+            was wait
+            node send USR1
+            node expect counters | askers_gone=2 | outcome_cancelled=2
+        """)
+
+
+class Refusing(Scenario):
+    def test_bad_messages(self) -> None:
+        self.start()
+        good = "X-Txn: a | X-Lane: quote | X-Org: acme | X-Remaining: 9m"
+        bad = [
+            ("RAW nonsense | |", 400), ("RAW GET /up HTTP/2.0 | | ", 505),
+            ("RAW GET /up HTTP/1.1 |  x: y | | ", 400),
+            ("RAW POST /api HTTP/1.1 | Content-Length: 1 | Transfer-Encoding: chunked | | ", 400),
+            ("RAW POST /api HTTP/1.1 | Content-Length: -1 | | ", 400),
+            ("RAW POST /api HTTP/1.1 | Content-Length: 1 | Content-Length: 2 | | ", 400),
+            ("RAW POST /api HTTP/1.1 | Transfer-Encoding: chunked | | zz\\r\\n", 400),
+            ("RAW POST /api HTTP/1.1 | Content-Length: 65537 | | LONG(65537)", 413),
+            ("RAW POST /api HTTP/1.1 | Transfer-Encoding: chunked | | 10001\\r\\nLONG(65537)", 413),
+            ("RAW GET /up HTTP/1.1 | X: LONG(20000)", 431),
+            ("GET /nowhere", 404), ("GET /api", 405), ("POST /up", 405), ("GET /callback", 405),
+            ("POST /callback | | {", 400), ("POST /callback | | {\"id\":\"a\"}", 400),
+            ("POST /callback | | [1]", 400),
+            (f"POST /api | {good.replace('X-Txn: a', 'X-Txn: a b')}", 400),
+            (f"POST /api | {good.replace('X-Txn: a | ', '')}", 400),
+            (f"POST /api | {good.replace('quote', 'unknown')}", 400),
+            (f"POST /api | {good.replace(' | X-Lane: quote', '')}", 400),
+            (f"POST /api | {good.replace('acme', 'unknown')}", 400),
+            (f"POST /api | {good.replace('9m', '9')}", 400), (f"POST /api | {good.replace('9m', '0m')}", 400),
+            (f"POST /api | {good} | X-Labels: slots=many", 400),
+            (f"POST /api | {good.replace('quote', 'charge')}", 400),  # no Idempotency-Key
+        ]
+        for number, (message, status) in enumerate(bad):
+            self.play(f"""
+                c{number} send {message}
+                c{number} expect {status}
+            """)
+        self.play("""
+            node send USR1
+            node expect counters | !faults
+            c send GET /up
+            c expect 200
+        """)
+
+    def test_an_id_in_use_is_not_taken_twice(self) -> None:
+        self.start()
+        self.play("""
+            c send job a settle
+            s expect X-Txn: a
+            c2 send job a settle
+            c2 expect 400 | in use
+            s send 202
+            s call a done result=one
+            c expect 200 | one
+        """)
+
+    def test_at_the_limit_an_idle_edge_connection_makes_room(self) -> None:
+        self.start(limits={"sockets": 80})  # ten edge connections
+        self.play("\n".join(f"c{n} send GET /up\nc{n} expect 200" for n in range(12)))
+        self.play("""
+            c0 wait
+            c11 send job a settle
+            s expect X-Txn: a
+            s send 202
+            s call+ a done result=x
+            c11 expect 200
+        """)
+
+    def test_many_requests_ahead_are_answered_in_turn(self) -> None:
+        # Each is turned down at once: answering one from within another would nest without end.
+        self.start()
+        request = "GET /up HTTP/1.1\\r\\n\\r\\n"
+        self.play(f"c send RAW {request * 500}")
+        self.play("\n".join(["c expect 200"] * 500))
+
+
+class Watching(Scenario):
+    def test_the_watch_goes_on_and_what_it_tells_is_used(self) -> None:
+        self.start({"discovery": "ask"}, servers=2)
+        self.play("""
+            d expect GET /discovery/hosts?after=1&wait_ms=
+            d send list 2 s-1=draining
+            d expect after=2
+            d send list 3 s-2=removed
+            d expect after=3
+            d send list 4 s-1=up
+            d expect after=4
+            c send job a settle
+            s expect X-Txn: a
+            s send 202
+            s call+ a done result=x
+            c expect 200
+        """)
+        self.assertEqual(self.heard[-1].name, "s-1")
+
+    def test_a_failed_call_is_told_and_asked_again(self) -> None:
+        self.start({"discovery": "ask"})
+        self.play("""
+            d expect after=1
+            d send 503
+            d wait
+            d close
+            d expect after=1
+            d send 200 | | {"version": 2, "full": false, "servers": [{"id": "s-1", "zone": "nowhere"}]}
+            node expect bad list
+            d wait
+            d close
+            d expect after=1
+            d send list 2 s-1=up
+            d expect after=2
+            node send USR1
+            node expect counters | lists_error=2 | !faults
+        """)
+
+
+class Ending(Scenario):
+    def test_what_is_owed_is_answered_after_sigterm(self) -> None:
+        # Real servers call back on new connections: closing the listener first would lose the flow.
+        self.start()
+        self.play("""
+            c send job a settle
+            s expect X-Txn: a
+            s send 202
+            c2 send GET /up
+            c2 expect 200
+            node send TERM
+            node expect stopping
+            c3 send GET /up
+            c3 expect 200
+            c2 wait
+            s call a done result=owed
+            c expect 200 | Connection: close | owed
+            c wait
+            node expect counters | answered_served=1
+            node expect exit 0
+        """)
+
+    def test_bad_configuration_names_the_key(self) -> None:
+        for change, key in (({"listen": "nowhere"}, "listen"), ({"settings": {"siblings": "x"}}, "siblings"),
+                            ({"settings": 5}, "settings"), ({"seed": "xyz"}, "seed"),
+                            ({"known": {"version": 1}}, "known"), ({"limits": {"sockets": "x"}}, "sockets")):
+            good = {"name": "n", "listen": "127.0.0.1:0", "discovery": "127.0.0.1:1", "settings": SETTINGS}
+            with self.subTest(key=key):
+                self.servers, self.lines, self.heard = {}, {}, []
+                self.discovery = listener()
+                self.run_program(json.dumps({**good, **change}))
+                self.play("node expect exit 2")
+                assert self.program.stderr is not None
+                told = self.program.stderr.read().decode().splitlines()
+                self.assertEqual(len(told), 1)
+                self.assertIn(key, told[0])
+                self.end()
+
+
+if __name__ == "__main__":
+    unittest.main()
--- a/violetsaddle/__main__.py
+++ b/violetsaddle/__main__.py
@@ -18,10 +18,10 @@
     """The configuration can't be used; the text names the key."""
 
 
-def at(table: dict[str, Any], key: str, variable: str) -> tuple[str, int]:
+def at(table: dict[str, Any], key: str, variable: str, least: int = 1) -> tuple[str, int]:
     """An address from the environment or the configuration."""
     try:
-        return address(os.environ.get(variable) or table.get(key))
+        return address(os.environ.get(variable) or table.get(key), least)
     except BadList as error:
         raise ConfigError(f"{key}: {error}") from None
 
@@ -55,7 +55,8 @@
         raise ConfigError(f"seed: must be hexadecimal, not {table.get('seed')!r}") from None
     return Config(
         name=str(os.environ.get("RELAY_NAME") or table.get("name") or "node"),
-        listen=at(table, "listen", "RELAY_LISTEN"), discovery=at(table, "discovery", "RELAY_DISCOVERY"),
+        listen=at(table, "listen", "RELAY_LISTEN", least=0),  # 0: any port that is free
+        discovery=at(table, "discovery", "RELAY_DISCOVERY"),
         seed=seed, sockets=min(whole(limits, "sockets", 1024), resource.getrlimit(resource.RLIMIT_NOFILE)[0]),
         known=table.get("known"), told=told, fields=fields,
         classes=settings.names(env, "requestClasses"), tenants=settings.names(env, "tenants"),
--- a/violetsaddle/net/discovery.py
+++ b/violetsaddle/net/discovery.py
@@ -25,9 +25,9 @@
     """What discovery gave is no list; the text names the fault."""
 
 
-def address(text: object) -> tuple[str, int]:
+def address(text: object, least: int = 1) -> tuple[str, int]:
     host, _, port = text.rpartition(":") if isinstance(text, str) else ("", "", "")
-    if not host or not port.isdigit() or not 0 < int(port) < 65536:
+    if not host or not port.isdigit() or not least <= int(port) < 65536:
         raise BadList(f"addr is no address: {text!r}")
     return host, int(port)
 
