--- a/tests/scenario.py
+++ b/tests/scenario.py
@@ -76,7 +76,8 @@
 class Scenario(unittest.TestCase):
     """Starts the program with `settings` and `config` changed, plays a text, and ends the program."""
 
-    def start(self, settings: dict[str, Any] | None = None, servers: int = 2, **config: Any) -> None:
+    def start(self, settings: dict[str, Any] | None = None, servers: int = 2, version: int = 1,
+              **config: Any) -> None:
         self.servers = {f"s-{n}": listener() for n in range(1, servers + 1)}
         self.discovery = listener()
         self.lines: dict[str, Line] = {}
@@ -84,7 +85,7 @@
         self.where = {n: address(s) for n, s in self.servers.items()}
         table = {"name": "n1", "listen": "127.0.0.1:0", "seed": "5", "limits": {"sockets": 1024},
                  "discovery": address(self.discovery),
-                 "known": self.list(1, [f"{n}=up" for n in self.servers]),
+                 "known": self.list(version, [f"{n}=up" for n in self.servers]),
                  "settings": {**SETTINGS, **(settings or {})}, **config}
         self.run_program(json.dumps(table))
         self.port = int(self.log("listening on")[0].rpartition(":")[2])
--- a/tests/test_node.py
+++ b/tests/test_node.py
@@ -322,6 +322,14 @@
         """)
         self.assertEqual(self.heard[-1].name, "s-1")
 
+    def test_version_0_is_watched_from_too(self) -> None:
+        self.start({"discovery": "ask"}, version=0)
+        self.play("""
+            d expect after=0&wait_ms=
+            d send list 0
+            d expect after=0&wait_ms=
+        """)
+
     def test_a_failed_call_is_told_and_asked_again(self) -> None:
         self.start({"discovery": "ask"})
         self.play("""
--- a/violetsaddle/net/discovery.py
+++ b/violetsaddle/net/discovery.py
@@ -44,7 +44,7 @@
         self._kinds = {name: index for index, name in enumerate(kinds)}
         # Discovery tells Unix time, the module's clock is the monotonic one: this is what lies between.
         self._clock_ahead = monotonic() - time.time_ns() // 1000
-        self._version = 0
+        self._version: int | None = None  # of the list held; None: none is
         self._connection: ServerConnection | None = None
         self._watching = False
         self._stopped = False
@@ -117,7 +117,11 @@
                 if answer.status != 200:
                     self._counters.add("watch_refused")
                     break
+                held = self._version
                 self.take(json.loads(bytes(answer.body)))
+                if self._version == held:
+                    # Guards against a discovery that answers at once with nothing new: it must not spin.
+                    await self._pause()
         except (NotConnected, Broken, CancelledError):
             self._counters.add("watch_broken")
         except (BadList, ValueError, RecursionError) as error:
@@ -125,13 +129,19 @@
             self._counters.say(f"discovery gave a bad list: {error}"[:300])
         self._over()
 
+    def _pause(self) -> Deferred[None]:
+        over: Deferred[None] = Deferred()
+        self._deadlines.after(self._limits.watch_pause, lambda: over.callback(None))
+        return over
+
     async def _call(self) -> http.Message:
         if self._connection is None or not self._connection.open:
             self._connection = await dial(
                 self._reactor, self._deadlines, self._limits.dial, self._host, self._port,
                 lambda: ServerConnection(self._limits, lambda _: None))
         target = "/discovery/hosts"
-        if self._version:
+        # Version 0 is one like any other: without `after` each call would bring the whole list at once.
+        if self._version is not None:
             target += f"?after={self._version}&wait_ms={self._limits.watch_wait // MS}"
         self._counters.add("watch_calls")
         calling = self._connection.exchange([http.request("GET", target, f"{self._host}:{self._port}")])
--- a/violetsaddle/net/limits.py
+++ b/violetsaddle/net/limits.py
@@ -29,6 +29,7 @@
     edge_idle: int = 75 * SECOND
     edge_read: int = 10 * SECOND  # from a message's first byte to its last
     watch_wait: int = 20 * SECOND  # discovery may hold a watch so long
+    watch_pause: int = 50 * MS  # between calls that bring nothing new; 200 ms would end the watch
     watch_grace: int = 2 * SECOND  # and answers so much later at the latest
     linger: int = 450 * MS  # after SIGTERM, connections still come for up to 400 ms
     drain: int = SECOND  # a refused message's rest is read so long, or the answer might not arrive
