Give a cancelled exchange's connection slot back; show what Twisted catches

Seen while reading servers.py again, then shown by a scenario with five connections allowed: after five schedulings given up before their 202, no connection came up any more ('s expect DELETE /jobs/a4' never heard). Cause: ServerConnection.exchange made a Deferred whose canceller left it in place; connectionLost failed it a second time, which raised before the slot was freed. The exception had been swallowed by Twisted without a log observer; now it is counted as a fault and printed. A client that does not read its last answer is cut off after a while instead of holding its descriptor; a client that sends 'Expect: 100-continue' is told to go on.

--- a/tests/test_node.py
+++ b/tests/test_node.py
@@ -92,6 +92,15 @@
             c expect 200 | ready
         """)
 
+    def test_a_client_that_waits_for_leave_to_send_its_body_gets_it(self) -> None:
+        self.start()
+        self.play("""
+            c send RAW POST /callback HTTP/1.1 | Expect: 100-continue | Content-Length: 2 | |
+            c expect 100
+            c send RAW {}
+            c expect 400
+        """)
+
     def test_a_report_by_probe_is_asked_and_read(self) -> None:
         self.start(PROBING, servers=1)
         self.play("""
@@ -295,6 +304,27 @@
             c11 expect 200
         """)
 
+    def test_a_scheduling_given_up_frees_its_connection(self) -> None:
+        # A cancelled exchange once kept its slot: after as many as the limit no connection came up.
+        self.start(servers=1, limits={"sockets": 80})  # five connections to real servers
+        for n in range(8):
+            self.play(f"""
+                c send job a{n} settle
+                s expect X-Txn: a{n}
+                c close
+                s expect DELETE /jobs/a{n}
+                s send 204
+            """)
+        self.play("""
+            c send job b settle
+            s expect X-Txn: b
+            s send 202
+            s call+ b done result=x
+            c expect 200
+            node send USR1
+            node expect counters | !faults
+        """)
+
     def test_many_requests_ahead_are_answered_in_turn(self) -> None:
         # Each is turned down at once: answering one from within another would nest without end.
         self.start()
--- a/violetsaddle/net/edge.py
+++ b/violetsaddle/net/edge.py
@@ -136,7 +136,9 @@
         self._due = self._shared.deadlines.after(time, due)
 
     def timed_out(self) -> None:
-        if self._parser.held and not self._closing:
+        if self._closing:
+            self.transport.abortConnection()  # a client that does not read holds its connection no longer
+        elif self._parser.held:
             self._answer(408, close=True)
         else:
             self.end()
@@ -145,6 +147,7 @@
         """Closes once what was written has gone out."""
         self._closing = True
         self.transport.loseConnection()
+        self._wait(self._shared.limits.edge_read)
 
     def close_soon(self, unread_too: bool = False) -> None:
         """An idle one closes now, another with its answer; `unread_too`: also one whose request has not
@@ -205,7 +208,7 @@
                     self._wait(self._shared.limits.edge_read)
                 if self._parser.wants_continue and not self._continued:
                     self._continued = True
-                    self.transport.write(http.answer(100).replace(b"Content-Length: 0\r\n", b""))
+                    self.transport.write(http.CONTINUE)
                 return
             self._continued, fresh = False, True
             self._close_next = self._close_next or not message.keeps_alive
--- a/violetsaddle/net/http.py
+++ b/violetsaddle/net/http.py
@@ -8,11 +8,12 @@
 from violetsaddle.net.limits import Limits
 
 END = b"\r\n\r\n"
+CONTINUE = b"HTTP/1.1 100 Continue" + END
 TOKEN = frozenset(b"!#$%&'*+-.^_`|~0123456789abcdefghijklmnopqrstuvwxyzABCDEFGHIJKLMNOPQRSTUVWXYZ")
 CONTROLS = frozenset(range(0x20)) - {0x09} | {0x7F}
 HEX = frozenset(b"0123456789abcdefABCDEF")
 REASONS = {
-    100: "Continue", 200: "OK", 202: "Accepted", 204: "No Content", 400: "Bad Request", 404: "Not Found",
+    200: "OK", 202: "Accepted", 204: "No Content", 400: "Bad Request", 404: "Not Found",
     405: "Method Not Allowed", 408: "Request Timeout", 413: "Content Too Large", 429: "Too Many Requests",
     431: "Request Header Fields Too Large", 502: "Bad Gateway", 503: "Service Unavailable",
     504: "Gateway Timeout", 505: "HTTP Version Not Supported",
--- a/violetsaddle/net/node.py
+++ b/violetsaddle/net/node.py
@@ -9,6 +9,7 @@
 from typing import Any
 
 from twisted.internet.error import CannotListenError
+from twisted.logger import LogEvent, globalLogBeginner
 
 from violetsaddle import interface as api
 from violetsaddle.net.counters import Counters
@@ -114,10 +115,19 @@
             self._reactor.callLater(0, self._reactor.stop)
 
 
+    def observe(self, event: LogEvent) -> None:
+        """What Twisted caught for us must be seen: it would pass in silence."""
+        failure = event.get("log_failure")
+        if failure is not None:
+            self.counters.fault("caught by Twisted", failure.value)
+
+
 def run(config: Config) -> int:
     from twisted.internet import reactor  # the default one: epoll where there is epoll
 
     node = Node(reactor, config)
+    observer: Any = node.observe  # its interface is declared in a way that type checkers can't read
+    globalLogBeginner.beginLoggingTo([observer], redirectStandardIO=False, discardBuffer=True)
     try:
         node.start()
     except CannotListenError as error:
--- a/violetsaddle/net/servers.py
+++ b/violetsaddle/net/servers.py
@@ -75,7 +75,7 @@
     def exchange(self, message: Sequence[bytes],
                  on_written: Callable[[], None] | None = None) -> Deferred[http.Message]:
         """Sends a message and gives its answer; fails with `Broken`.  Cancelling it closes the connection."""
-        answer: Deferred[http.Message] = Deferred(lambda _: self.transport.abortConnection())
+        answer: Deferred[http.Message] = Deferred(self._cancelled)
         self._answer, self._message, self._written, self._on_written = answer, message, False, on_written
         if not self.open:
             self._fail()
@@ -84,6 +84,11 @@
             self.transport.registerProducer(self, False)
         return answer
 
+    def _cancelled(self, _: object) -> None:
+        self._answer = None  # else `connectionLost` would fail it again and never give its slot back
+        self.open = False
+        self.transport.abortConnection()
+
     def resumeProducing(self) -> None:
         if self._message is not None:
             message, self._message = self._message, None
