Resume accepting at the edge's cap once an answer is given

Seen while reading edge.py again: with all edge connections busy the listener pauses, and resumed only when one of them ended; clients that keep theirs alive would have shut everybody else out for up to the idle time. Now the next answer given while paused says 'Connection: close' and makes room. The scenario fails without the change (mutation tried: the late client is never answered). A dial's time-out is now only in the deadlines; the endpoint's own is off.

--- a/tests/test_node.py
+++ b/tests/test_node.py
@@ -304,6 +304,24 @@
             c11 expect 200
         """)
 
+    def test_at_the_limit_with_none_idle_the_next_answer_makes_room(self) -> None:
+        # Accepting once resumed only when a connection ended: kept-alive ones shut everybody else out.
+        self.start(limits={"sockets": 80})
+        for n in range(9):
+            self.play(f"""
+                c{n} send job a{n} settle
+                s expect X-Txn: a{n}
+                s send 202
+            """)
+        self.play("""
+            c send POST /api | X-Txn: b | X-Lane: settle | X-Org: acme | X-Remaining: 500m | | body
+            s expect X-Txn: b
+            s send 202
+            late send GET /up
+            c expect 504 | Connection: close
+            late expect 200
+        """)
+
     def test_a_scheduling_given_up_frees_its_connection(self) -> None:
         # A cancelled exchange once kept its slot: after as many as the limit no connection came up.
         self.start(servers=1, limits={"sockets": 80})  # five connections to real servers
--- a/violetsaddle/net/edge.py
+++ b/violetsaddle/net/edge.py
@@ -91,14 +91,14 @@
 
     transport: Transport
 
-    def __init__(self, shared: Shared, gone: Callable[[EdgeConnection], None], last: bool) -> None:
-        self._shared, self._gone = shared, gone
+    def __init__(self, shared: Shared, home: EdgeFactory) -> None:
+        self._shared, self._home = shared, home
         self._parser = http.Parser(shared.limits, shared.limits.body)
         self.number = -1
         self._flow = -1
         self._awaited = False  # a flow's final answer is still to come
         self._closing = False  # the answer written last says so
-        self._close_next = last  # the present request is the last one
+        self._close_next = home.closing  # the present request is the last one
         self._continued = False
         self._lost = False
         self._reading = False
@@ -122,7 +122,7 @@
         if self._awaited:
             self._awaited = False
             self._shared.flows.leave(self._flow)
-        self._gone(self)
+        self._home.gone()
 
     def _wait(self, time: int) -> None:
         self._shared.deadlines.drop(self._due)
@@ -303,7 +303,7 @@
             self.dataReceived(b"")
 
     def _answer(self, status: int, body: bytes = b"", headers: str = "", close: bool = False) -> None:
-        close = close or self._close_next
+        close = close or self._close_next or self._home.held
         self._shared.counters.add(f"answer_{status}")
         self.transport.write(http.answer(status, body, headers, close))
         if close:
@@ -319,9 +319,9 @@
 
     def __init__(self, shared: Shared) -> None:
         self.shared = shared
-        self.closing = False  # each answer from now on is its connection's last
+        self.closing = False  # a new connection's first answer is its last
         self.hold: Callable[[bool], None] = lambda held: None  # stops and resumes accepting
-        self._held = False
+        self.held = False  # at the limit and none idle: the next answer given ends its connection
         self.when_empty: Callable[[], None] | None = None
 
     def buildProtocol(self, addr: IAddress | None) -> EdgeConnection:
@@ -334,13 +334,14 @@
                     break
             else:
                 # None is idle: new ones wait in the backlog until one has ended.
-                self._held = True
+                self.held = True
                 self.hold(True)
-        return EdgeConnection(self.shared, self._gone, self.closing)
+        return EdgeConnection(self.shared, self)
 
-    def _gone(self, connection: EdgeConnection) -> None:
-        if self._held:
-            self._held = False
+    def gone(self) -> None:
+        """A connection has ended."""
+        if self.held:
+            self.held = False
             self.hold(False)
         if self.when_empty is not None and not len(self.shared.connections):
             self.when_empty()
--- a/violetsaddle/net/servers.py
+++ b/violetsaddle/net/servers.py
@@ -149,7 +149,8 @@
 async def dial(reactor: Reactor, deadlines: Deadlines, wait: int, host: str, port: int,
                build: Callable[[], ServerConnection]) -> ServerConnection:
     """A new connection, or `NotConnected` when it does not come up in time."""
-    endpoint = TCP4ClientEndpoint(reactor, host, port, timeout=2 * wait / 1e6 + 1)
+    no_time: Any = None  # none of its own: the deadline below is in the one structure with all others
+    endpoint = TCP4ClientEndpoint(reactor, host, port, timeout=no_time)
     factory: Any = _Dialled(build)
     coming: Any = endpoint.connect(factory)
     timed_out = False
