--- a/tests/test_node.py
+++ b/tests/test_node.py
@@ -207,6 +207,20 @@
             c expect 502
         """)
 
+    def test_an_odd_answer_is_given_up_before_another_scheduling(self) -> None:
+        self.start()
+        self.play("""
+            c send job a quote
+            s expect POST /api
+            s send 200 | | done?
+            s expect DELETE /jobs/a
+            s send 204
+            s expect POST /api | X-Txn: a
+            s send 202
+            s call+ a done result=x
+            c expect 200
+        """)
+
     def test_time_running_out_is_answered_and_told_to_the_real_server(self) -> None:
         self.start()
         self.play("""
--- a/violetsaddle/net/servers.py
+++ b/violetsaddle/net/servers.py
@@ -329,9 +329,18 @@
             if answer.status == 202:
                 scheduling.accepted = True
                 return
-            full = answer.status in (503, 504) and answer.header("x-turned-away") == "1"
-            self._flows.ended(scheduling, api.FULL if full else api.ERROR,
-                              self.report(answer.header("x-pressure")))
+            self._refused(scheduling, answer)
+
+    def _refused(self, scheduling: Scheduling, answer: http.Message) -> None:
+        """The real server has not taken the job, or says nothing that can be understood."""
+        report = self.report(answer.header("x-pressure"))
+        if answer.status in (503, 504) and answer.header("x-turned-away") == "1":
+            self._flows.ended(scheduling, api.FULL, report)
+        elif answer.status >= 500:
+            self._flows.ended(scheduling, api.ERROR, report)
+        else:
+            # Guards against a second copy: nobody has said that the job does not run.
+            self.give_up(scheduling).addBoth(lambda _: self._flows.ended(scheduling, api.ERROR, report))
 
     def give_up(self, scheduling: Scheduling) -> Deferred[None]:
         ticket, scheduling.ticket = scheduling.ticket, None
