Close the longest idle edge connection at the cap; take queries of any length

Read: a query of more than 64 fields with a sid raised from parse_qsl, which aborted the connection and counted as a fault; the head's limit bounds it already. At the cap the first idle connection in slot order closed, which could be one that had only just come.

--- a/violetsaddle/net/edge.py
+++ b/violetsaddle/net/edge.py
@@ -80,7 +80,7 @@
 
 def subject(query: str) -> int | None:
     """The number that stands for what the flow is about, the same at every node."""
-    for name, value in parse_qsl(query, max_num_fields=64) if "sid=" in query else ():
+    for name, value in parse_qsl(query) if "sid=" in query else ():
         if name == "sid":
             return int.from_bytes(blake2b(value.encode(), digest_size=8).digest(), "big") >> 11
     return None
@@ -109,6 +109,10 @@
     def idle(self) -> bool:
         return not self._awaited and not self._parser.held and not self._closing
 
+    @property
+    def idle_until(self) -> int:
+        return self._due.at if self._due is not None else 0
+
     def connectionMade(self) -> None:
         self.transport.setTcpNoDelay(True)
         self.number = self._shared.connections.put(self)
@@ -327,11 +331,10 @@
     def buildProtocol(self, addr: IAddress | None) -> EdgeConnection:
         connections = self.shared.connections
         if len(connections) + 1 >= self.shared.limits.edge_connections:
-            for connection in connections:
-                # Not a real server's: at the limit it could not come back to tell how a flow ends.
-                if connection.idle and not connection.calls_back:
-                    connection.end()
-                    break
+            # Not a real server's: at the limit it could not come back to tell how a flow ends.
+            idle = [c for c in connections if c.idle and not c.calls_back]
+            if idle:
+                min(idle, key=lambda c: c.idle_until).end()  # the longest idle
             else:
                 # None is idle: new ones wait in the backlog until one has ended.
                 self.held = True
