Move the watch on SIGHUP; see off silent and half-heard clients within 2 s

SIGHUP rereads the file; its discovery wins over the environment's, the running watch is cancelled and goes on at the new address from the whole list. A file that can't be used is one line in the log. A first message has 2 s from the connection's start, a later one 2 s from its first byte. At the cap, what is closing goes first, then connections silent for 300 ms, then idle kept ones; a first request that waits unread is looked for before its connection is closed. At most 100 headers a head.

--- a/tests/scenario.py
+++ b/tests/scenario.py
@@ -89,16 +89,24 @@
                  "discovery": address(self.discovery),
                  "known": self.listing(version, [f"{n}=up" for n in self.servers]),
                  "settings": {**SETTINGS, **(settings or {})}, **config}
-        self.run_program(json.dumps(table))
+        self.run_program(json.dumps(table), RELAY_DISCOVERY=table["discovery"])
+        self.table = table
         self.port = int(self.log("listening on")[0].rpartition(":")[2])
 
-    def run_program(self, config: str) -> None:
+    def replace(self, **config: Any) -> None:
+        """Puts another file in place of the configuration."""
+        with open(self.path + "+", "w") as file:
+            json.dump({**self.table, **config}, file)
+        os.replace(self.path + "+", self.path)
+
+    def run_program(self, config: str, **told: str) -> None:
         with tempfile.NamedTemporaryFile("w", suffix=".json", delete=False) as file:
             file.write(config)
+        self.path = file.name
         self.addCleanup(os.unlink, file.name)
         env = {k: v for k, v in os.environ.items() if not k.startswith("RELAY_")}
         self.program = subprocess.Popen([sys.executable, "-m", "violetsaddle"], stderr=subprocess.PIPE,
-                                        env={**env, "RELAY_CONFIG": file.name})
+                                        env={**env, **told, "RELAY_CONFIG": file.name})
         self.addCleanup(self.end)
 
     def end(self) -> None:
--- a/tests/test_node.py
+++ b/tests/test_node.py
@@ -3,9 +3,11 @@
 from __future__ import annotations
 
 import json
+import os
+import time
 import unittest
 
-from tests.scenario import SETTINGS, Scenario, listener
+from tests.scenario import SETTINGS, Line, Scenario, address, listener
 
 TWO_TRIES = {"permissions": {**SETTINGS["permissions"], "mostTries": 2}}
 PROBING = {"permissions": {**SETTINGS["permissions"], "mayProbe": True},
@@ -306,6 +308,46 @@
             c expect 200 | one
         """)
 
+    def test_who_says_nothing_or_half_of_it_is_seen_off_in_time(self) -> None:
+        # Half a head was once kept for 10 s and silence for 75: the limit of descriptors shut others out.
+        self.start()
+        begun = time.monotonic()
+        self.play("""
+            half send RAW POST /api HTTP/1.1 | X-T
+            body send RAW POST /api HTTP/1.1 | Content-Length: 9 | | x
+        """)
+        self.line("mute")
+        self.play("""
+            half expect 408 | close
+            half wait
+            body expect 408
+            mute wait
+            c send GET /up
+            c expect 200
+            c send RAW GET /up
+            c expect 408
+        """)
+        self.assertLess(time.monotonic() - begun, 6)
+
+    def test_many_headers_are_too_many(self) -> None:
+        # Each costs far more memory than its bytes: thousands once fitted into one head.
+        self.start()
+        self.play("c send RAW GET /up HTTP/1.1 | " + " | ".join(["a:"] * 101) + " | | \nc expect 431")
+
+    def test_at_the_limit_the_silent_give_way_to_those_who_ask(self) -> None:
+        self.start(limits={"sockets": 80})  # ten edge connections
+        self.play("kept send GET /up\nkept expect 200")
+        for n in range(12):
+            self.line(f"mute{n}")
+            time.sleep(0.4 if n == 7 else 0)  # the first ones had the time to ask
+        self.play("""
+            c send GET /up
+            c expect 200
+            kept send GET /up
+            kept expect 200
+            mute0 wait
+        """)
+
     def test_at_the_limit_an_idle_edge_connection_makes_room(self) -> None:
         self.start(limits={"sockets": 80})  # ten edge connections
         self.play("\n".join(f"c{n} send GET /up\nc{n} expect 200" for n in range(12)))
@@ -417,6 +459,48 @@
         """)
 
 
+    def test_a_new_configuration_moves_the_watch_and_drops_no_flow(self) -> None:
+        # SIGHUP once ended the program.  What the environment told at the start no longer counts.
+        self.start({"discovery": "ask"})
+        old, self.discovery = self.discovery, listener()
+        self.addCleanup(old.close)
+        self.lines["old"] = Line(old.accept()[0])
+        self.replace(discovery=address(self.discovery))
+        self.play("""
+            c send job a settle
+            s expect X-Txn: a
+            s send 202
+            old expect after=1
+            node send HUP
+            old wait
+            d expect GET /discovery/hosts HTTP/1.1
+            d send list 0 s-1=draining s-2=up
+            d expect after=0
+            s call+ a done result=kept
+            c expect 200 | kept
+            node send USR1
+            node expect counters | !lists_error | !faults | reloads=1
+        """)
+
+    def test_a_configuration_that_cannot_be_used_changes_nothing(self) -> None:
+        self.start({"discovery": "ask"})
+        self.play("d expect after=1")
+        for change, key in (({"discovery": 5}, "discovery"), ({"settings": {"siblings": "x"}}, "siblings"),
+                            ({"limits": 7}, "limits")):
+            self.replace(**change)
+            self.play(f"""
+                node send HUP
+                node expect old configuration | {key}
+            """)
+        os.truncate(self.path, 9)
+        self.play("""
+            node send HUP
+            node expect old configuration | RELAY_CONFIG
+            d send list 2 s-1=up
+            d expect after=2
+        """)
+
+
 class Ending(Scenario):
     def test_what_is_owed_is_answered_after_sigterm(self) -> None:
         # Real servers call back on new connections: closing the listener first would lose the flow.
--- a/violetsaddle/__main__.py
+++ b/violetsaddle/__main__.py
@@ -5,23 +5,20 @@
 import json
 import os
 import resource
+import signal
 import sys
 from typing import Any
 
 from violetsaddle import settings
 from violetsaddle.interface import SettingsError
 from violetsaddle.net.discovery import BadList, address
-from violetsaddle.net.node import Config, run
+from violetsaddle.net.node import Config, ConfigError, run
 
 
-class ConfigError(Exception):
-    """The configuration can't be used; the text names the key."""
-
-
-def at(table: dict[str, Any], key: str, variable: str, least: int = 1) -> tuple[str, int]:
-    """An address from the environment or the configuration."""
+def at(table: dict[str, Any], key: str, told: str | None, least: int = 1) -> tuple[str, int]:
+    """An address from the environment, if it tells one, or the configuration."""
     try:
-        return address(os.environ.get(variable) or table.get(key), least)
+        return address(told or table.get(key), least)
     except BadList as error:
         raise ConfigError(f"{key}: {error}") from None
 
@@ -33,7 +30,9 @@
     return value
 
 
-def read() -> Config:
+def read(again: bool = False) -> Config:
+    """The configuration; `again`: it has been replaced since the start, so that its `discovery` counts
+    although the environment told another one then."""
     path = os.environ.get("RELAY_CONFIG")
     if not path:
         raise ConfigError("RELAY_CONFIG: is not set")
@@ -55,22 +54,30 @@
         raise ConfigError(f"seed: must be hexadecimal, not {table.get('seed')!r}") from None
     return Config(
         name=str(os.environ.get("RELAY_NAME") or table.get("name") or "node"),
-        listen=at(table, "listen", "RELAY_LISTEN", least=0),  # 0: any port that is free
-        discovery=at(table, "discovery", "RELAY_DISCOVERY"),
+        listen=at(table, "listen", os.environ.get("RELAY_LISTEN"), least=0),  # 0: any port that is free
+        discovery=at(table, "discovery", None if again else os.environ.get("RELAY_DISCOVERY")),
         seed=seed, sockets=min(whole(limits, "sockets", 1024), resource.getrlimit(resource.RLIMIT_NOFILE)[0]),
         known=table.get("known"), told=told, fields=fields,
         classes=settings.names(env, "requestClasses"), tenants=settings.names(env, "tenants"),
         zones=settings.names(env, "failureDomains"), kinds=settings.names(env, "kinds"))
 
 
+def reread() -> Config:
+    try:
+        return read(again=True)
+    except SettingsError as error:
+        raise ConfigError(str(error)) from None
+
+
 def main() -> int:
+    signal.signal(signal.SIGHUP, signal.SIG_IGN)  # until the node listens for it
     try:
         config = read()
     except (ConfigError, SettingsError) as error:
         print(f"violetsaddle: {error}".replace("\n", " "), file=sys.stderr)
         return 2
     try:
-        return run(config)
+        return run(config, reread)
     except BadList as error:
         print(f"violetsaddle: known: {error}".replace("\n", " "), file=sys.stderr)
         return 2
--- a/violetsaddle/net/discovery.py
+++ b/violetsaddle/net/discovery.py
@@ -47,6 +47,8 @@
         self._version: int | None = None  # of the list held; None: none is
         self._connection: ServerConnection | None = None
         self._watching = False
+        self._running: Deferred[None] | None = None
+        self._round = 0  # a watch that was moved away must not speak for the present one
         self._stopped = False
 
     def take(self, told: Any, kind: str | None = None) -> None:
@@ -89,27 +91,45 @@
         if self._watching or self._stopped:
             return
         self._watching = True
-        Deferred.fromCoroutine(self._watch()).addErrback(self._failed)
+        self._running = Deferred.fromCoroutine(self._watch(self._round))
+        self._running.addErrback(self._failed, self._round)
+
+    def move(self, at: tuple[str, int]) -> None:
+        """Discovery is at another address: the watch goes on there at once, from the whole list, for the
+        versions there may be others."""
+        if at == (self._host, self._port):
+            return
+        self._host, self._port = at
+        self._round += 1
+        self._version, self._watching = None, False
+        if self._running is not None:
+            self._running.cancel()
+        self._hang_up()
+        self.watch()
 
     def stop(self) -> None:
         self._stopped = True
+        self._hang_up()
+
+    def _hang_up(self) -> None:
         if self._connection is not None:
             self._connection.transport.abortConnection()
+            self._connection = None
 
-    def _failed(self, reason: Reason) -> None:
+    def _failed(self, reason: Reason, round: int) -> None:
         """A fault of our own is a failed call too: the module asks again."""
         self._counters.fault("the watch failed", reason.value)
-        self._over()
+        self._over(round)
 
-    def _over(self) -> None:
+    def _over(self, round: int) -> None:
+        if round != self._round:
+            return
         self._watching = False
-        if self._connection is not None:
-            self._connection.transport.abortConnection()
-            self._connection = None
+        self._hang_up()
         if not self._stopped:
             self._flows.listed(api.LIST_ERROR, ())
 
-    async def _watch(self) -> None:
+    async def _watch(self, round: int) -> None:
         """Asks again as soon as an answer is taken in, until a call fails."""
         try:
             while not self._stopped:
@@ -123,11 +143,12 @@
                     # Guards against a discovery that answers at once with nothing new: it must not spin.
                     await self._pause()
         except (NotConnected, Broken, CancelledError):
-            self._counters.add("watch_broken")
+            if round == self._round:
+                self._counters.add("watch_broken")
         except (BadList, ValueError, RecursionError) as error:
             self._counters.add("watch_bad")
             self._counters.say(f"discovery gave a bad list: {error}"[:300])
-        self._over()
+        self._over(round)
 
     def _pause(self) -> Deferred[None]:
         over: Deferred[None] = Deferred()
--- a/violetsaddle/net/edge.py
+++ b/violetsaddle/net/edge.py
@@ -4,6 +4,7 @@
 
 import json
 import re
+import socket
 from collections.abc import Callable, Sequence
 from dataclasses import dataclass, field
 from hashlib import blake2b
@@ -16,7 +17,7 @@
 from violetsaddle import interface as api
 from violetsaddle.net import http
 from violetsaddle.net.counters import Counters
-from violetsaddle.net.deadlines import Deadline, Deadlines, Transport
+from violetsaddle.net.deadlines import Deadline, Deadlines, Transport, monotonic
 from violetsaddle.net.flows import Failure, Flows, Unfit
 from violetsaddle.net.limits import MS, SECOND, Limits
 from violetsaddle.net.slots import SlotTable
@@ -103,6 +104,8 @@
         self._lost = False
         self._reading = False
         self.calls_back = False  # a real server's
+        self._first = True  # no message has come whole
+        self._since = 0
         self._due: Deadline | None = None
 
     @property
@@ -110,14 +113,42 @@
         return not self._awaited and not self._parser.held and not self._closing
 
     @property
-    def idle_until(self) -> int:
-        return self._due.at if self._due is not None else 0
+    def silent(self) -> bool:
+        """Nothing has come, nor waits to be read: a request may lie there that we were too busy to see."""
+        if not self._first or self._parser.held or self._closing:
+            return False
+        try:
+            handle: socket.socket = self.transport.getHandle()
+            return not handle.recv(1, socket.MSG_PEEK | socket.MSG_DONTWAIT)
+        except BlockingIOError:
+            return True
+        except OSError:
+            return True  # reset: nothing more comes
+
+    def gives_way(self, now: int) -> tuple[int, int] | None:
+        """Its place among those that make room at the limit, the lowest first; None: not to be closed."""
+        # Not a real server's: at the limit it could not come back to tell how a flow ends.
+        if self.calls_back or self._awaited or (self._parser.held and not self._closing):
+            return None
+        if self._closing:
+            return 0, self._since  # its answer is out; only what is not wanted is still to come
+        if not self._first:
+            return 2, self._since
+        if not self.silent:
+            return None
+        return (1 if now - self._since >= self._shared.limits.edge_settled else 3), self._since
+
+    def make_room(self) -> None:
+        if self._closing:
+            self.transport.abortConnection()
+        else:
+            self.end()
 
     def connectionMade(self) -> None:
         self.transport.setTcpNoDelay(True)
         self.number = self._shared.connections.put(self)
         self._shared.counters.add("edge_connections")
-        self._wait(self._shared.limits.edge_idle)
+        self._wait(self._shared.limits.edge_first)
 
     def connectionLost(self, reason: Reason = connectionDone) -> None:
         self._lost = True
@@ -129,6 +160,7 @@
         self._home.gone()
 
     def _wait(self, time: int) -> None:
+        self._since = monotonic()
         self._shared.deadlines.drop(self._due)
         number, connections = self.number, self._shared.connections
 
@@ -144,6 +176,8 @@
             self.transport.abortConnection()  # a client that does not read holds its connection no longer
         elif self._parser.held:
             self._answer(408, close=True)
+        elif self._first and not self.silent:
+            self._wait(self._shared.limits.edge_settled)  # what has come is read first
         else:
             self.end()
 
@@ -160,10 +194,10 @@
         if self.idle or (unread_too and not self._awaited):
             self.end()
 
-    def dataReceived(self, data: bytes) -> None:
+    def dataReceived(self, data: bytes, fresh: bool = False) -> None:
         if self._closing:
             return
-        fresh = not self._parser.held
+        fresh = fresh or not self._parser.held
         self._parser.feed(data)
         try:
             if self._awaited:
@@ -209,13 +243,14 @@
         while not self._awaited and not self._closing:
             message = self._parser.next()
             if message is None:
-                if self._parser.held and fresh:
+                # The first message's time counts from the connection's start: else silence would double it.
+                if self._parser.held and fresh and not self._first:
                     self._wait(self._shared.limits.edge_read)
                 if self._parser.wants_continue and not self._continued:
                     self._continued = True
                     self.transport.write(http.CONTINUE)
                 return
-            self._continued, fresh = False, True
+            self._continued, fresh, self._first = False, True, False
             self._close_next = self._close_next or not message.keeps_alive
             self._take(message)
 
@@ -305,7 +340,7 @@
         self._awaited, self._flow = False, -1
         self._answer(status, body, headers)
         if self._parser.held and not self._closing:
-            self.dataReceived(b"")
+            self.dataReceived(b"", True)
 
     def _answer(self, status: int, body: bytes = b"", headers: str = "", close: bool = False) -> None:
         close = close or self._close_next or self._home.held
@@ -332,10 +367,10 @@
     def buildProtocol(self, addr: IAddress | None) -> EdgeConnection:
         connections = self.shared.connections
         if len(connections) + 1 >= self.shared.limits.edge_connections:
-            # Not a real server's: at the limit it could not come back to tell how a flow ends.
-            idle = [c for c in connections if c.idle and not c.calls_back]
-            if idle:
-                min(idle, key=lambda c: c.idle_until).end()  # the longest idle
+            now = monotonic()
+            places = [(place, c) for c in connections if (place := c.gives_way(now)) is not None]
+            if places:
+                min(places, key=lambda p: p[0])[1].make_room()
             else:
                 # None is idle: new ones wait in the backlog until one has ended.
                 self.held = True
--- a/violetsaddle/net/http.py
+++ b/violetsaddle/net/http.py
@@ -180,6 +180,8 @@
         if not CONTROLS.isdisjoint(buffer[first:last]):
             raise Malformed(400, "a header holds control characters")
         self._fields.append((at, colon, first, last))
+        if len(self._fields) > self._limits.fields:
+            raise Malformed(431, "the head holds too many headers")
 
     def _framing(self) -> None:
         buffer = self._buffer
--- a/violetsaddle/net/limits.py
+++ b/violetsaddle/net/limits.py
@@ -20,6 +20,7 @@
     server_idle: int  # an idle connection to a real server is dropped before the server drops it
     dial: int
     head: int = 16 * 1024
+    fields: int = 100  # in one head
     body: int = 64 * 1024
     answer_body: int = 1024 * 1024  # of discovery's lists and of what real servers answer
     identity: int = 128  # characters of a flow's id
@@ -27,7 +28,9 @@
     probe: int = 250 * MS
     give_up: int = 2 * SECOND  # for the answer to a DELETE
     edge_idle: int = 75 * SECOND
-    edge_read: int = 10 * SECOND  # from a message's first byte to its last
+    edge_first: int = 2 * SECOND  # from a connection's start to its first message's last byte
+    edge_read: int = 2 * SECOND  # from a later message's first byte to its last
+    edge_settled: int = 300 * MS  # a client that will ask has sent its first byte by then
     watch_wait: int = 20 * SECOND  # discovery may hold a watch so long
     watch_pause: int = 50 * MS  # between calls that bring nothing new; 200 ms would end the watch
     watch_grace: int = 2 * SECOND  # and answers so much later at the latest
--- a/violetsaddle/net/node.py
+++ b/violetsaddle/net/node.py
@@ -4,7 +4,7 @@
 
 import gc
 import signal
-from collections.abc import Mapping, Sequence
+from collections.abc import Callable, Mapping, Sequence
 from dataclasses import dataclass
 from typing import Any
 
@@ -21,6 +21,10 @@
 from violetsaddle.net.servers import Servers
 
 
+class ConfigError(Exception):
+    """The configuration can't be used; the text names the key."""
+
+
 @dataclass(frozen=True)
 class Config:
     """What a node is told at its start."""
@@ -40,8 +44,8 @@
 
 
 class Node:
-    def __init__(self, reactor: Reactor, config: Config) -> None:
-        self._reactor, self._config = reactor, config
+    def __init__(self, reactor: Reactor, config: Config, reread: Callable[[], Config]) -> None:
+        self._reactor, self._config, self._reread = reactor, config, reread
         self.limits = Limits.of(config.told, config.sockets)
         self.counters = Counters(config.name)
         self.deadlines = Deadlines(reactor, self.counters.fault)
@@ -65,7 +69,7 @@
         self._port = self._reactor.listenTCP(port, self.edge, self.limits.backlog, host)
         self.edge.hold = self._hold
         for number, what in ((signal.SIGTERM, self.stop), (signal.SIGINT, self.stop),
-                             (signal.SIGUSR1, self.counters.show)):
+                             (signal.SIGHUP, self.reload), (signal.SIGUSR1, self.counters.show)):
             signal.signal(number, lambda *_, what=what: self._reactor.callFromThread(what))
         # What lives as long as the program is no work for the collector.
         gc.collect()
@@ -81,6 +85,19 @@
             else:
                 self._port.startReading()
 
+    def reload(self) -> None:
+        """The configuration was replaced: discovery may be elsewhere.  All else needs a new start."""
+        try:
+            config = self._reread()
+        except Exception as error:  # guards against a file that nobody foresaw: the old one holds
+            named = error if isinstance(error, ConfigError) else f"{type(error).__name__}: {error}"
+            self.counters.add("reloads_bad")
+            self.counters.say(f"goes on with the old configuration: {named}".replace("\n", " ")[:300])
+            return
+        self.counters.add("reloads")
+        self.counters.say("discovery is at {}:{}".format(*config.discovery))
+        self.discovery.move(config.discovery)
+
     def stop(self) -> None:
         """First goes on as before: clients and the front learn of it only after a while."""
         if not self._stopping:
@@ -114,7 +131,6 @@
             self._ended = True
             self._reactor.callLater(0, self._reactor.stop)
 
-
     def observe(self, event: LogEvent) -> None:
         """What Twisted caught for us must be seen: it would pass in silence."""
         failure = event.get("log_failure")
@@ -122,10 +138,10 @@
             self.counters.fault("caught by Twisted", failure.value)
 
 
-def run(config: Config) -> int:
+def run(config: Config, reread: Callable[[], Config]) -> int:
     from twisted.internet import reactor  # the default one: epoll where there is epoll
 
-    node = Node(reactor, config)
+    node = Node(reactor, config, reread)
     observer: Any = node.observe  # its interface is declared in a way that type checkers can't read
     globalLogBeginner.beginLoggingTo([observer], redirectStandardIO=False, discardBuffer=True)
     try:
