Let nodes tell each other their jobs in flight; pass over workers that are taken

Each node compares its own jobs in flight only (policy._better) and reports are up to 1.5 s old, so a worker filled by other nodes looked idle.

Change: a datagram of 6 bytes at each change of a worker's jobs in flight, all of them each second; _crowded counts them. A worker probed ahead is held to the same. The estimate of a request's work reaches the module.

--- a/tests/helpers.py
+++ b/tests/helpers.py
@@ -38,6 +38,9 @@
     def probe(self, worker: int) -> None:
         self.done.append(("probe", worker))
 
+    def tell(self, data: bytes) -> None:
+        self.done.append(("tell", data))
+
     def watch(self) -> None:
         self.done.append(("watch",))
 
--- a/tests/scenario.py
+++ b/tests/scenario.py
@@ -9,7 +9,8 @@
     s expect ~POST /api                      among things that come in any order
 
 Parties: `c`, `c1`, ... are clients; `s` is whichever real server hears next, `was` the one it heard before
-that; `d` is discovery; `node` takes signals and tells its log and its end.  Shorthands: `c send job ID LANE`,
+that; `d` is discovery; `p` is another node, by datagrams in
+hexadecimal; `node` takes signals and tells its log and its end.  Shorthands: `c send job ID LANE`,
 `s send 202`, `s call ID STATE` (a callback, with `result=...` or `share=...`; `call+` expects its 204),
 `d send list VERSION s-1=up ...`."""
 
@@ -49,6 +50,13 @@
     return made
 
 
+def datagrams() -> socket.socket:
+    made = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
+    made.bind(("127.0.0.1", 0))
+    made.settimeout(PATIENCE)
+    return made
+
+
 def address(sock: socket.socket) -> str:
     return f"127.0.0.1:{sock.getsockname()[1]}"
 
@@ -81,6 +89,10 @@
               **config: Any) -> None:
         self.servers = {f"s-{n}": listener() for n in range(1, servers + 1)}
         self.discovery = listener()
+        self.peer, own = datagrams(), datagrams()
+        self.peer_at = address(own)
+        own.close()  # the program takes it over
+        self.addCleanup(self.peer.close)
         self.lines: dict[str, Line] = {}
         self.waiting: list[tuple[Line, str]] = []  # heard out of turn
         self.heard: list[Line] = []  # real servers' connections, the one heard last at the end
@@ -88,6 +100,7 @@
         table = {"name": "n1", "listen": "127.0.0.1:0", "seed": "5", "limits": {"sockets": 1024},
                  "discovery": address(self.discovery),
                  "known": self.listing(version, [f"{n}=up" for n in self.servers]),
+                 "peer_listen": self.peer_at, "peers": [self.peer_at, address(self.peer)],
                  "settings": {**SETTINGS, **(settings or {})}, **config}
         self.run_program(json.dumps(table), RELAY_DISCOVERY=table["discovery"])
         self.table = table
@@ -206,6 +219,9 @@
         if party == "node":
             self.program.send_signal(signal.Signals["SIG" + words])
             return
+        if party == "p":
+            self.peer.sendto(bytes.fromhex(words), ("127.0.0.1", int(self.peer_at.rpartition(":")[2])))
+            return
         self.line(party).sock.sendall(self.message(words))
 
     def message(self, words: str) -> bytes:
@@ -235,6 +251,10 @@
             else:
                 self.log(*wanted)
             return
+        if party == "p":
+            while not re.search(words, self.peer.recv(512).hex()):
+                pass
+            return
         heard = self.next_heard(wanted) if party == "s" else self.line(party).message()
         if wanted[0][:3].isdigit():
             self.assertTrue(heard.startswith(f"HTTP/1.1 {wanted.pop(0)} "), heard[:300])
--- a/tests/test_node.py
+++ b/tests/test_node.py
@@ -6,6 +6,7 @@
 import os
 import time
 import unittest
+from zlib import crc32
 
 from tests.scenario import SETTINGS, Line, Scenario, address, listener
 
@@ -121,6 +122,38 @@
         """)
 
 
+    def test_what_another_node_tells_counts_as_load(self) -> None:
+        # Own jobs alone once counted: a real server looked idle while other nodes filled it.
+        self.start({**PROBING, "siblings": 2, "permissions": {**PROBING["permissions"], "mayTell": True}})
+        one, two = (f"{crc32(name) & 0xffffff:06x}" for name in (b"s-1", b"s-2"))
+        self.play(f"""
+            c send job a quote
+            s expect ~GET /metrics/load
+            s send 200 | | x0=1,utilization=0.5
+            s expect ~POST /api
+            s send 202
+            s call+ a done result=x
+            c expect 200
+            p expect ^....({one}|{two})01$
+            p expect ^....({one}|{two})00$
+            p send ff
+            p send 0001{one}01
+        """)
+        for n in range(8):
+            self.play(f"""
+                c send job b{n} quote
+                s expect ~POST /api
+                s send 202
+                s call+ b{n} done result=x
+                c expect 200
+            """)
+            self.assertEqual(self.heard[-1].name, "s-2")
+        self.play("""
+            node send USR1
+            node expect counters | heard=2 | !faults
+        """)
+
+
 class Failing(Scenario):
     def test_a_reset_of_what_may_have_run_is_not_sent_again(self) -> None:
         self.start()
@@ -306,6 +339,8 @@
             s send 202
             s call a done result=one
             c expect 200 | one
+            c send job a settle
+            c expect 400 | in use
         """)
 
     def test_who_says_nothing_or_half_of_it_is_seen_off_in_time(self) -> None:
--- a/violetsaddle/__main__.py
+++ b/violetsaddle/__main__.py
@@ -52,11 +52,17 @@
         seed = int(str(table.get("seed", "0")), 16)
     except ValueError:
         raise ConfigError(f"seed: must be hexadecimal, not {table.get('seed')!r}") from None
+    peers = table.get("peers") or []
+    if not isinstance(peers, list):
+        raise ConfigError("peers: must be a list")
     return Config(
         name=str(os.environ.get("RELAY_NAME") or table.get("name") or "node"),
         listen=at(table, "listen", os.environ.get("RELAY_LISTEN"), least=0),  # 0: any port that is free
         discovery=at(table, "discovery", None if again else os.environ.get("RELAY_DISCOVERY")),
         seed=seed, sockets=min(whole(limits, "sockets", 1024), resource.getrlimit(resource.RLIMIT_NOFILE)[0]),
+        peer_listen=at(table, "peer_listen", None) if table.get("peer_listen") else None,
+        peers_all=at(table, "peers_all", None) if table.get("peers_all") else None,
+        peers=[at({"peers": peer}, "peers", None) for peer in peers],
         known=table.get("known"), told=told, fields=fields,
         classes=settings.names(env, "requestClasses"), tenants=settings.names(env, "tenants"),
         zones=settings.names(env, "failureDomains"), kinds=settings.names(env, "kinds"))
--- a/violetsaddle/benchlink.py
+++ b/violetsaddle/benchlink.py
@@ -48,6 +48,9 @@
     def probe(self, worker: int) -> None:
         self.out.append(f"HEALTH_CHECK {self.name} {worker}")
 
+    def tell(self, data: bytes) -> None:
+        self.out.append(f"PUBLISH {self.name} * {data.hex()}")
+
     def watch(self) -> None:
         self.out.append(f"FOLLOW {self.name} 1")
 
@@ -67,7 +70,8 @@
 
     def on_request(self, now: int, v: list[str]) -> None:
         self.balancer.request(now, v[2], int(v[12]), int(v[11]), 0 if v[7] == "-" else int(v[7]),
-                              1.0 if v[6] == "-" else float(v[6]), None if v[5] == "-" else int(v[5]))
+                              1.0 if v[6] == "-" else float(v[6]), None if v[5] == "-" else int(v[5]),
+                              0 if v[10] == "-" else int(v[10]))
 
     def on_answer(self, now: int, v: list[str]) -> None:
         self.balancer.answer(now, v[2], int(v[3]), OUTCOME[v[5]], int(v[6]), v[7] == "1", self.report(v[9]))
@@ -82,7 +86,7 @@
         self.balancer.probed(now, int(v[2]), OUTCOME[v[3]] == api.OK, self.report(v[5]))
 
     def on_peer(self, now: int, v: list[str]) -> None:
-        bytes.fromhex(v[3].replace("-", ""))  # read for its form only: no decision uses what peers say
+        self.balancer.heard(now, int(v[2]), bytes.fromhex(v[3].replace("-", "")))
 
     def on_first(self, now: int, v: list[str]) -> None:
         self.balancer.stream_began(now, v[2], int(v[3]))
--- a/violetsaddle/interface.py
+++ b/violetsaddle/interface.py
@@ -133,6 +133,9 @@
 
     def probe(self, worker: int) -> None: ...
 
+    def tell(self, data: bytes) -> None:
+        """To every peer; may be lost."""
+
     def watch(self) -> None: ...
 
     def arm(self, time: int) -> None: ...
--- a/violetsaddle/net/edge.py
+++ b/violetsaddle/net/edge.py
@@ -65,6 +65,12 @@
     return int(number) * UNITS[unit]
 
 
+def estimate(text: str | None) -> int:
+    """Microseconds of work that the client guesses; 0 where it gives none that can be read."""
+    number = text or ""
+    return int(number) if number.isascii() and number.isdigit() and len(number) <= 12 else 0
+
+
 def labelled(text: str | None, name: str, default: float) -> float:
     for pair in (text or "").split(","):
         key, _, value = pair.partition("=")
@@ -283,7 +289,7 @@
             self._shared.deadlines.drop(self._due)
             number = self._shared.flows.arrive(
                 job, cls, message.header("x-org"), time, bool(message.header("idempotency-key")), slots,
-                subject(query), HttpOrder(message), self)
+                subject(query), estimate(message.header("x-estimate")), HttpOrder(message), self)
             self._flow = number
         except Unfit as error:
             self._awaited = False
--- a/violetsaddle/net/flows.py
+++ b/violetsaddle/net/flows.py
@@ -6,7 +6,7 @@
 from __future__ import annotations
 
 import enum
-from collections import deque
+from collections import OrderedDict, deque
 from collections.abc import Callable, Sequence
 from typing import Protocol
 
@@ -75,6 +75,12 @@
     def probe(self, server: int) -> None: ...
 
 
+class Teller(Protocol):
+    """What brings words to the other nodes of the tier."""
+
+    def tell(self, data: bytes) -> None: ...
+
+
 class Watcher(Protocol):
     """What asks discovery."""
 
@@ -104,6 +110,8 @@
         self._telling = False
         self.carrier: Carrier
         self.watcher: Watcher
+        self.teller: Teller | None = None  # None: there are no peers, or no way to them
+        self._over: OrderedDict[str, None] = OrderedDict()  # ids of the last flows that are over
         self.when_idle: Callable[[], None] | None = None  # called when the last flow has ended
         self._balancer = Balancer(told, seed, monotonic(), self)
 
@@ -129,7 +137,7 @@
         self._deadlines.sweep()
 
     def arrive(self, job: str, cls: str, tenant: str | None, remaining: int, repeat_key: bool, slots: float,
-               key: int | None, order: Order, asker: Asker) -> int:
+               key: int | None, hint: int, order: Order, asker: Asker) -> int:
         """Takes a flow in and gives its number; raises `Unfit` if it can't be."""
         index = self._classes.get(cls)
         if index is None:
@@ -141,7 +149,8 @@
             raise Unfit("no time remains")
         if self._told.classes[index].effect == api.KEYED and not repeat_key:
             raise Unfit("this class needs a key against repeats")
-        if job in self._by_job:
+        # Guards against an id sent again once its flow is over: real servers may have run it already.
+        if job in self._by_job or job in self._over:
             raise Unfit("the id is in use")
         now = monotonic()
         # The module's time ends a little before the client's: the answer needs some to arrive.
@@ -152,16 +161,17 @@
         # Guards against a flow the module holds or lost past its deadline.
         flow.guard = self._deadlines.add(now + remaining, lambda: self._overdue(number))
         self._counters.add("flows")
-        self._tell(lambda: self._request(number, index, place, given, slots, key))
+        self._tell(lambda: self._request(number, index, place, given, slots, key, hint))
         return number
 
     def _request(self, number: int, cls: int, tenant: int, remaining: int, slots: float,
-                 key: int | None) -> None:
+                 key: int | None, hint: int) -> None:
         flow = self._table.get(number)
         if flow is None:
             return
         try:
-            self._balancer.request(flow.deadline - remaining, flow.job, cls, remaining, tenant, slots, key)
+            self._balancer.request(flow.deadline - remaining, flow.job, cls, remaining, tenant, slots, key,
+                                   hint)
         except Exception as error:
             self._counters.fault("the module failed on a flow", error)
             self._fail(flow, Failure.BROKEN)
@@ -185,6 +195,9 @@
         self._counters.add("probes_ok" if ok else "probes_failed")
         self._tell(lambda: self._balancer.probed(monotonic(), server, ok, report))
 
+    def heard(self, peer: int, data: bytes) -> None:
+        self._tell(lambda: self._balancer.heard(monotonic(), peer, data))
+
     def find(self, job: str, name: str) -> Scheduling | None:
         """The scheduling that a real server, known by its name, may still speak of."""
         flow = self._table.get(self._by_job.get(job, -1))
@@ -255,6 +268,9 @@
             self._deadlines.drop(flow.guard)
             self._table.free(flow.number)
             del self._by_job[flow.job]
+            self._over[flow.job] = None
+            if len(self._over) > self._limits.remembered:
+                self._over.popitem(last=False)
             if not len(self._table) and self.when_idle is not None:
                 self.when_idle()
 
@@ -299,6 +315,10 @@
         self._counters.add("probes")
         self.carrier.probe(worker)
 
+    def tell(self, data: bytes) -> None:
+        if self.teller is not None:
+            self.teller.tell(data)
+
     def watch(self) -> None:
         self.watcher.watch()
 
--- a/violetsaddle/net/limits.py
+++ b/violetsaddle/net/limits.py
@@ -26,6 +26,8 @@
     identity: int = 128  # characters of a flow's id
     answer_margin: int = 5 * MS  # the module's deadline comes so long before the client's
     probe: int = 250 * MS
+    datagram: int = 256
+    remembered: int = 4096  # ids of flows that are over
     give_up: int = 2 * SECOND  # for the answer to a DELETE
     edge_idle: int = 75 * SECOND
     edge_first: int = 2 * SECOND  # from a connection's start to its first message's last byte
--- a/violetsaddle/net/node.py
+++ b/violetsaddle/net/node.py
@@ -18,6 +18,7 @@
 from violetsaddle.net.edge import EdgeFactory, Shared
 from violetsaddle.net.flows import Flows
 from violetsaddle.net.limits import Limits
+from violetsaddle.net.peers import Peers
 from violetsaddle.net.servers import Servers
 
 
@@ -39,6 +40,9 @@
     fields: Mapping[str, str]  # names of load report values on the wire, and what they mean
     classes: Sequence[str]
     tenants: Sequence[str]
+    peer_listen: tuple[str, int] | None
+    peers: Sequence[tuple[str, int]]
+    peers_all: tuple[str, int] | None
     zones: Sequence[str]
     kinds: Sequence[str]
 
@@ -66,6 +70,11 @@
         if self._config.known:
             self.discovery.take(self._config.known, api.DISK)
         host, port = self._config.listen
+        if self._config.peer_listen is not None and self._config.told.may_tell:
+            peers = Peers(self._reactor, self.limits, self.counters, self.flows, self._config.peers,
+                          self._config.peers_all)
+            peers.listen(self._config.peer_listen)
+            self.flows.teller = peers
         self._port = self._reactor.listenTCP(port, self.edge, self.limits.backlog, host)
         self.edge.hold = self._hold
         for number, what in ((signal.SIGTERM, self.stop), (signal.SIGINT, self.stop),
--- /dev/null
+++ b/violetsaddle/net/peers.py
@@ -0,0 +1,51 @@
+"""Datagrams between the nodes of the tier, where the settings allow them."""
+
+from __future__ import annotations
+
+from collections.abc import Sequence
+
+from twisted.internet.error import CannotListenError
+from twisted.internet.protocol import DatagramProtocol
+
+from violetsaddle.net.counters import Counters
+from violetsaddle.net.deadlines import Reactor, Transport
+from violetsaddle.net.flows import Flows
+from violetsaddle.net.limits import Limits
+
+
+class Peers(DatagramProtocol):
+    """Implements `flows.Teller`; what comes late or never is the module's to bear."""
+
+    noisy = False
+    transport: Transport
+
+    def __init__(self, reactor: Reactor, limits: Limits, counters: Counters, flows: Flows,
+                 peers: Sequence[tuple[str, int]], everyone: tuple[str, int] | None) -> None:
+        self._reactor, self._limits, self._counters, self._flows = reactor, limits, counters, flows
+        self._numbers = {address: number for number, address in enumerate(peers)}
+        self._to = [everyone] if everyone is not None else list(peers)
+
+    def listen(self, at: tuple[str, int]) -> None:
+        try:
+            self._reactor.listenUDP(at[1], self, at[0], self._limits.datagram + 1)
+        except CannotListenError as error:
+            # Peers' words help to choose well; a node serves without them too.
+            self._counters.say(f"peer_listen: {error}")
+
+    def datagramReceived(self, data: bytes, addr: tuple[str, int]) -> None:
+        number = self._numbers.get(addr)
+        if number is None or len(data) > self._limits.datagram:
+            self._counters.add("bad_datagrams")
+            return
+        self._counters.add("heard")
+        self._flows.heard(number, data)
+
+    def tell(self, data: bytes) -> None:
+        if self.transport is None or len(data) > self._limits.datagram:
+            return
+        self._counters.add("told")
+        for address in self._to:
+            try:
+                self.transport.write(data, address)
+            except OSError:
+                self._counters.add("untold")  # no room in the kernel, or no way there: as good as lost
--- a/violetsaddle/policy.py
+++ b/violetsaddle/policy.py
@@ -12,6 +12,7 @@
 from bisect import bisect
 from collections import Counter
 from collections.abc import Sequence
+from itertools import islice
 from random import Random
 from typing import Any
 
@@ -38,8 +39,11 @@
 DRAWS = 12  # tries to draw an acceptable worker before taking what comes
 FRESH = 2 * SECOND  # a load report older than this says nothing of now
 FULL_REST = SECOND // 4  # a worker that was full is left alone so long
+TOLD_FOR = 3 * SECOND  # what a peer told of its jobs in flight counts so long without a further word
+SPEED_STEP = 0.3  # weight of each new run time in a worker's speed
 HOME_BONUS = 1.15  # appeal of the own zone in a tie
 AWAY, AWAY_CROWD = 0.4, 0.35  # weight of other zones' workers while fewer than so many are seen without room
+MOST_TOLD = 60  # workers in one telling: a datagram holds 256 bytes
 MOST_AHEAD = 8  # workers drawn and probed ahead
 KEY_SPREAD = 2.0  # homes of a key: this many times its share of the traffic in workers, and two more
 MOST_KEYS = 4096  # keys counted before counting starts anew
@@ -124,10 +128,11 @@
 
     __slots__ = ("id", "zone", "cell", "kind", "weight", "started", "state", "inflight", "free", "free_at",
                  "sent_since", "strikes", "shut_until", "trust", "full_until", "cold_until", "cold", "life",
-                 "pools", "size")
+                 "pools", "size", "speed")
 
     def __init__(self, entry: api.Entry) -> None:
         self.id, self.zone, self.cell, self.kind, self.weight, self.started, self.state = entry
+        self.speed = 0.0  # of its runs: work hinted over time taken; 0: none seen
         self.size = self.weight  # the largest weight told: where weights are live, what an idle one has
         self.inflight = 0  # own attempts out
         self.free, self.free_at, self.sent_since = 0.0, -FRESH, 0.0  # last report, own slots sent since
@@ -148,11 +153,12 @@
 
 
 class Request:
-    __slots__ = ("id", "spec", "slots", "deadline", "key", "attempts", "out", "over", "streams", "patience")
+    __slots__ = ("id", "spec", "slots", "deadline", "key", "attempts", "out", "over", "streams", "patience",
+                 "hint")
 
     def __init__(self, job: str, spec: api.RequestClass, slots: float, now: int, remaining: int,
-                 key: int | None) -> None:
-        self.id, self.spec, self.slots, self.key = job, spec, slots, key
+                 key: int | None, hint: int) -> None:
+        self.id, self.spec, self.slots, self.key, self.hint = job, spec, slots, key, hint
         self.deadline = now + remaining
         self.attempts: list[Attempt] = []
         self.out, self.over, self.streams = 0, False, False
@@ -221,6 +227,16 @@
         return self.rate
 
 
+class Peer:
+    """What another scheduler last told of its jobs in flight, by worker (low bits of its id)."""
+
+    __slots__ = ("at", "counts")
+
+    def __init__(self) -> None:
+        self.at = -TOLD_FOR
+        self.counts: dict[int, tuple[int, int]] = {}  # number of the telling, jobs
+
+
 class Balancer:
     """The decisions of one scheduler; its public methods are the events."""
 
@@ -247,6 +263,9 @@
         self.retries, self.copies = RETRY_MOST / 2, COPY_MOST / 2
         self.mean_free = 0.0  # of reported free slots
         self.ahead: list[Worker] = []
+        self.peers: dict[int, Peer] = {}
+        self.tellings = 0
+        self.speeds: dict[int, float] = {}  # mean by kind
         self.timers: list[tuple[int, int, Any, Any]] = []
         self.timer_number, self.armed, self.watch_fails, self.watching = 0, 0, 0, False
         self._after(now, int(TICK * (0.5 + self.random())), self._tick, None)
@@ -284,8 +303,46 @@
             for bucket, share in zip(self.buckets, self.shares):
                 bucket.fill(now)
                 bucket.rate = rate * share / told.schedulers
+        self._tell(now, None)
         self._after(now, TICK, self._tick, None)
 
+    # What schedulers tell each other: jobs in flight at a worker, as they change; all of them each tick.
+
+    def _tell(self, now: int, worker: Worker | None) -> None:
+        if not self.told.may_tell or self.told.schedulers < 2:
+            return
+        self.tellings = (self.tellings + 1) & 0x7FFF
+        busy = (w for w in self.workers.values() if w.inflight)
+        told = [worker] if worker is not None else list(islice(busy, MOST_TOLD))
+        head = self.tellings | (0x8000 if worker is None else 0)
+        self.act.tell(head.to_bytes(2, "big") + b"".join(
+            (w.id & 0xFFFFFF).to_bytes(3, "big") + bytes((min(w.inflight, 255),)) for w in told))
+
+    def heard(self, now: int, origin: int, data: bytes) -> None:
+        """A peer's telling; it may be late, lost, out of order, or no telling at all."""
+        if origin == self.told.me or len(data) % 4 != 2 or not 0 <= origin < self.told.schedulers:
+            return
+        peer = self.peers.setdefault(origin, Peer())
+        peer.at = now
+        number = (data[0] & 0x7F) << 8 | data[1]
+        if data[0] & 0x80:
+            for known, (when, _) in list(peer.counts.items()):
+                if (number - when) & 0x7FFF < 0x4000:
+                    del peer.counts[known]
+        for at in range(2, len(data), 4):
+            key = int.from_bytes(data[at:at + 3], "big")
+            before = peer.counts.get(key)
+            if before is None or (number - before[0]) & 0x7FFF < 0x4000:
+                peer.counts[key] = number, data[at + 3]
+
+    def _busy(self, now: int, worker: Worker) -> int:
+        """Jobs in flight at a worker, own and told."""
+        key, busy = worker.id & 0xFFFFFF, worker.inflight
+        for peer in self.peers.values():
+            if now - peer.at < TOLD_FOR and key in peer.counts:
+                busy += peer.counts[key][1]
+        return busy
+
     def _watch(self, now: int, _: None) -> None:
         if not self.watching:
             self.act.watch()
@@ -492,6 +549,8 @@
         return first if self._appeal(now, first) >= self._appeal(now, second) else second
 
     def _crowded(self, now: int, worker: Worker, slots: float) -> bool:
+        if self.peers and (most := round(self.fleet.most_free.get(worker.kind, 0.0))):
+            return worker.full_until > now or self._busy(now, worker) + slots > most
         shown_full = now - worker.free_at < FRESH and worker.free - worker.sent_since < slots
         return (shown_full or worker.full_until > now
                 or (self.told.live_weights and worker.weight < LIVE_CROWDED * worker.size))
@@ -537,6 +596,7 @@
             worker = self.ahead.pop()
             if (worker.pools and worker.cold_until <= now and now - worker.free_at < FRESH
                     and worker.free - worker.sent_since >= request.slots
+                    and not self._crowded(now, worker, request.slots)
                     and self.zone_trust[worker.zone] == 1.0):
                 return worker
         return None
@@ -548,13 +608,13 @@
                 self.act.probe(worker.id)
 
     def request(self, now: int, job: str, cls: int, remaining: int, tenant: int = 0, slots: float = 1.0,
-                key: int | None = None) -> None:
+                key: int | None = None, hint: int = 0) -> None:
         """A client's request: admission, then the push."""
         if not 0 <= cls < len(self.told.classes) or not 0 <= tenant < len(self.buckets):
             raise api.EventError(f"request {job}: class {cls} or tenant {tenant} is not in the settings")
         if job in self.requests:
             raise api.EventError(f"request {job} is known already")
-        request = Request(job, self.told.classes[cls], slots, now, remaining, key)
+        request = Request(job, self.told.classes[cls], slots, now, remaining, key, hint)
         bucket = self.buckets[tenant]
         self.arrived_slots += slots
         self.retries = min(RETRY_MOST, self.retries + RETRY_SHARE)
@@ -587,6 +647,7 @@
         worker.inflight += 1
         worker.sent_since += request.slots
         self.act.send(request.id, worker.id, 0)
+        self._tell(now, worker)
         if self.told.tells_start:
             self._after(now, request.patience, self._check, attempt)
         return True
@@ -691,6 +752,7 @@
         attempt.out, attempt.may_have_run = False, outcome not in api.NEVER_RAN
         request.out -= 1
         worker.inflight -= 1
+        self._tell(now, worker)
         self._learn(now, attempt, outcome, latency)
         if report:
             self._report(now, worker, report)
@@ -706,6 +768,8 @@
         worker = attempt.worker
         if outcome == api.OK:
             self._alive(now, worker)
+            if attempt.started and attempt.request.hint:
+                self._ran(worker, attempt.request.hint / max(1, now - attempt.started))
             self.fleet.ran(attempt.request.slots, now - attempt.started if attempt.started else latency)
             if not self.told.tells_start:
                 self._press(now, False)
@@ -719,6 +783,15 @@
             self._zone_strike(worker.zone)
             self._strike(now, worker)
 
+    def _ran(self, worker: Worker, speed: float) -> None:
+        kind = self.speeds.get(worker.kind, speed)
+        self.speeds[worker.kind] = kind + 0.02 * (speed - kind)
+        before = worker.speed or kind
+        worker.speed = before + SPEED_STEP * (min(speed, 2.0 * kind) - before)
+
+    def _speed(self, worker: Worker) -> float:
+        return worker.speed or self.speeds.get(worker.kind) or worker.weight
+
     def _retry(self, now: int, request: Request, outcome: str) -> None:
         """Nothing is out and the final answer is owed: another try where it is allowed, else the end."""
         tries = len(request.attempts)
