Rest workers that answer errors; serve on kept connections until 2.5 s after SIGTERM

The module took no note of ERROR (policy._learn). From 16.3 to 17.5 s both nodes of the zone were down: the second got SIGTERM before the first was back, 1.6 tries a request, 29 % failed; SIGTERM closed all idle connections after 0.45 s (node._close).

Changes: a share of errors for each worker; above 0.25 it rests 1 to 8 s, and peers are told. Speed of runs against the hint weighs draws. After the linger each answer closes its connection, but unused ones stay until 2.5 s after SIGTERM; what comes then is answered by 3.4 s.

--- a/violetsaddle/net/edge.py
+++ b/violetsaddle/net/edge.py
@@ -193,6 +193,9 @@
         self.transport.loseConnection()
         self._wait(self._shared.limits.edge_read)
 
+    def close_next(self) -> None:
+        self._close_next = True
+
     def close_soon(self, unread_too: bool = False) -> None:
         """An idle one closes now, another with its answer; `unread_too`: also one whose request has not
         come whole."""
@@ -391,6 +394,13 @@
         if self.when_empty is not None and not len(self.shared.connections):
             self.when_empty()
 
+    def announce(self) -> None:
+        """The next answer on a client's connection is its last."""
+        self.closing = True
+        for connection in self.shared.connections:
+            if not connection.calls_back:
+                connection.close_next()
+
     def close_soon(self) -> None:
         """Clients' connections close when idle; real servers still need theirs."""
         self.closing = True
--- a/violetsaddle/net/flows.py
+++ b/violetsaddle/net/flows.py
@@ -110,6 +110,8 @@
         self._telling = False
         self.carrier: Carrier
         self.watcher: Watcher
+        self.ending = False  # the program is to end: flows that come now have their answer by `last_word`
+        self.last_word = 0
         self.teller: Teller | None = None  # None: there are no peers, or no way to them
         self._over: OrderedDict[str, None] = OrderedDict()  # ids of the last flows that are over
         self.when_idle: Callable[[], None] | None = None  # called when the last flow has ended
@@ -153,6 +155,8 @@
         if job in self._by_job or job in self._over:
             raise Unfit("the id is in use")
         now = monotonic()
+        if self.ending:
+            remaining = max(1, min(remaining, self.last_word - now))
         # The module's time ends a little before the client's: the answer needs some to arrive.
         given = remaining - min(self._limits.answer_margin, remaining // 10)
         flow = Flow(job, order, asker, now + given)
--- a/violetsaddle/net/limits.py
+++ b/violetsaddle/net/limits.py
@@ -37,6 +37,8 @@
     watch_pause: int = 50 * MS  # between calls that bring nothing new; 200 ms would end the watch
     watch_grace: int = 2 * SECOND  # and answers so much later at the latest
     linger: int = 450 * MS  # after SIGTERM, connections still come for up to 400 ms
+    keep_asking: int = 2500 * MS  # after SIGTERM, clients may use the connections they have so long
+    last_word: int = 3400 * MS  # after SIGTERM, what comes after the linger is answered by then
     drain: int = SECOND  # a refused message's rest is read so long, or the answer might not arrive
     farewell: int = SECOND  # for the last answers to leave before the program ends
     backlog: int = 511
--- a/violetsaddle/net/node.py
+++ b/violetsaddle/net/node.py
@@ -13,7 +13,7 @@
 
 from violetsaddle import interface as api
 from violetsaddle.net.counters import Counters
-from violetsaddle.net.deadlines import Deadlines, Reactor
+from violetsaddle.net.deadlines import Deadlines, Reactor, monotonic
 from violetsaddle.net.discovery import Discovery
 from violetsaddle.net.edge import EdgeFactory, Shared
 from violetsaddle.net.flows import Flows
@@ -112,7 +112,16 @@
         if not self._stopping:
             self._stopping = True
             self.counters.say("stopping")
-            self.deadlines.after(self.limits.linger, self._close)
+            self.flows.last_word = monotonic() + self.limits.last_word
+            self.deadlines.after(self.limits.linger, self._announce)
+            self.deadlines.after(self.limits.keep_asking, self._close)
+
+    def _announce(self) -> None:
+        """Every answer now closes its connection.  Unused ones stay: where the other nodes of the zone are
+        down too, they are the clients' only way."""
+        self.counters.say("closing connections with their next answer")
+        self.flows.ending = True
+        self.edge.announce()
 
     def _close(self) -> None:
         """What is owed is still finished; real servers call back at the node's address, so it stays open
--- a/violetsaddle/policy.py
+++ b/violetsaddle/policy.py
@@ -52,6 +52,9 @@
 SHUT_FOR, MOST_STRIKES = SECOND, 4  # first ejection, doubled by each strike up to so many
 MOST_SHUT = 0.3  # of the fleet ejected at once: the rest must not drown
 DOUBT = 0.2  # trust in a worker that was struck, doubled by each sign of life
+ERROR_STEP, ERROR_MOST = 0.15, 0.25  # weight of each outcome in the share of errors; above it a worker is ill
+ILL_FOR, ILL_DOUBLINGS = SECOND, 3  # an ill worker gets nothing so long, doubled by each relapse
+SPEED_EASE = 0.05  # of the way back to its kind's speed, each tick: a slow worker must get its chance
 ZONE_STRIKES, ZONE_DOUBT = 3, 0.04  # failures in a row for a zone to count as cut; draws it keeps as trials
 SILENT_NOTES = 2.5  # progress intervals without any sign of life
 # Further tries
@@ -128,10 +131,11 @@
 
     __slots__ = ("id", "zone", "cell", "kind", "weight", "started", "state", "inflight", "free", "free_at",
                  "sent_since", "strikes", "shut_until", "trust", "full_until", "cold_until", "cold", "life",
-                 "pools", "size", "speed")
+                 "pools", "size", "speed", "errors", "ill_until", "relapses")
 
     def __init__(self, entry: api.Entry) -> None:
         self.id, self.zone, self.cell, self.kind, self.weight, self.started, self.state = entry
+        self.errors, self.ill_until, self.relapses = 0.0, 0, 0  # share of errors among its last outcomes
         self.speed = 0.0  # of its runs: work hinted over time taken; 0: none seen
         self.size = self.weight  # the largest weight told: where weights are live, what an idle one has
         self.inflight = 0  # own attempts out
@@ -304,6 +308,9 @@
                 bucket.fill(now)
                 bucket.rate = rate * share / told.schedulers
         self._tell(now, None)
+        for worker in self.workers.values():
+            if worker.speed:
+                worker.speed += SPEED_EASE * (self.speeds[worker.kind] - worker.speed)
         self._after(now, TICK, self._tick, None)
 
     # What schedulers tell each other: jobs in flight at a worker, as they change; all of them each tick.
@@ -312,11 +319,12 @@
         if not self.told.may_tell or self.told.schedulers < 2:
             return
         self.tellings = (self.tellings + 1) & 0x7FFF
-        busy = (w for w in self.workers.values() if w.inflight)
+        busy = (w for w in self.workers.values() if w.inflight or w.ill_until > now)
         told = [worker] if worker is not None else list(islice(busy, MOST_TOLD))
         head = self.tellings | (0x8000 if worker is None else 0)
         self.act.tell(head.to_bytes(2, "big") + b"".join(
-            (w.id & 0xFFFFFF).to_bytes(3, "big") + bytes((min(w.inflight, 255),)) for w in told))
+            (w.id & 0xFFFFFF).to_bytes(3, "big") + bytes((min(w.inflight, 127) | (w.ill_until > now) << 7,))
+            for w in told))
 
     def heard(self, now: int, origin: int, data: bytes) -> None:
         """A peer's telling; it may be late, lost, out of order, or no telling at all."""
@@ -335,13 +343,14 @@
             if before is None or (number - before[0]) & 0x7FFF < 0x4000:
                 peer.counts[key] = number, data[at + 3]
 
-    def _busy(self, now: int, worker: Worker) -> int:
-        """Jobs in flight at a worker, own and told."""
-        key, busy = worker.id & 0xFFFFFF, worker.inflight
+    def _busy(self, now: int, worker: Worker) -> tuple[int, bool]:
+        """Jobs in flight at a worker, own and told; whether it is ill, by own or told experience."""
+        key, busy, ill = worker.id & 0xFFFFFF, worker.inflight, worker.ill_until > now
         for peer in self.peers.values():
             if now - peer.at < TOLD_FOR and key in peer.counts:
-                busy += peer.counts[key][1]
-        return busy
+                told = peer.counts[key][1]
+                busy, ill = busy + (told & 0x7F), ill or told > 0x7F
+        return busy, ill
 
     def _watch(self, now: int, _: None) -> None:
         if not self.watching:
@@ -501,23 +510,25 @@
     def _draw(self, now: int, pool: Pool, slots: float, request: Request | None) -> Worker | None:
         """A random ready worker, by weight; rejection keeps it O(1)."""
         random, items, top, trust = self.random, pool.items, pool.top, self.zone_trust
-        n, home, spare = len(items), self.told.zone, None
+        n, home, spare, least = len(items), self.told.zone, None, float("inf")
         away = AWAY if self.crowd < AWAY_CROWD else 1.0
         for _ in range(DRAWS if n else 0):
             worker = items[int(random() * n)]
             weight = worker.weight * trust[worker.zone] * worker.trust
+            if worker.speed < self.speeds.get(worker.kind, 0.0) and worker.speed:
+                weight *= (worker.speed / self.speeds[worker.kind]) ** 2
             weight *= 1.0 if worker.zone == home else away
             if worker.cold_until > now:
                 weight *= self._cold_allows(now, worker, slots)
             if not weight or (request is not None and request.attempts and request.tried(worker)):
                 continue
-            if random() * top > weight:
-                spare = spare or worker  # doubt in all of them must not leave a request without a worker
-                continue
-            if self._crowded(now, worker, slots):
-                spare = worker  # shown full lately: only if nothing better is met
-                continue
-            return worker
+            load = self._load(now, worker, slots)
+            if random() * top <= weight and load <= 0.0:
+                return worker
+            # Doubt in all of them must not leave a request without a worker: the least bad one met.
+            badness = load + 1.0 - weight / top
+            if badness < least:
+                least, spare = badness, worker
         return spare
 
     def _appeal(self, now: int, worker: Worker) -> float:
@@ -549,11 +560,19 @@
         return first if self._appeal(now, first) >= self._appeal(now, second) else second
 
     def _crowded(self, now: int, worker: Worker, slots: float) -> bool:
+        return self._load(now, worker, slots) > 0.0
+
+    def _load(self, now: int, worker: Worker, slots: float) -> float:
+        """How far a worker is from starting a job at once: above 0, it would wait there or come back."""
+        busy, ill = self._busy(now, worker)
+        load = 8.0 * ill + 4.0 * (worker.full_until > now)
         if self.peers and (most := round(self.fleet.most_free.get(worker.kind, 0.0))):
-            return worker.full_until > now or self._busy(now, worker) + slots > most
-        shown_full = now - worker.free_at < FRESH and worker.free - worker.sent_since < slots
-        return (shown_full or worker.full_until > now
-                or (self.told.live_weights and worker.weight < LIVE_CROWDED * worker.size))
+            return load + max(0.0, busy + slots - most) / most
+        if now - worker.free_at < FRESH and worker.free - worker.sent_since < slots:
+            load += 1.0
+        if self.told.live_weights and worker.weight < LIVE_CROWDED * worker.size:
+            load += 1.0
+        return load
 
     def _home(self, now: int, request: Request, key: int) -> Worker | None:
         """Draws a job with a key from the key's homes, the same at every scheduler, so that they hold what
@@ -717,6 +736,8 @@
             return
         attempt = request.attempts[number]
         self._alive(now, attempt.worker)
+        if what == api.PROGRESS and attempt.started and amount and request.hint and now > attempt.started:
+            self._ran(attempt.worker, request.hint * amount / (now - attempt.started))
         if what == api.STARTED and not attempt.started:
             attempt.started = now
             if not attempt.late:
@@ -768,11 +789,22 @@
         worker = attempt.worker
         if outcome == api.OK:
             self._alive(now, worker)
+            worker.errors -= ERROR_STEP * worker.errors
+            if worker.errors < ERROR_MOST / 2:
+                worker.relapses = 0
             if attempt.started and attempt.request.hint:
                 self._ran(worker, attempt.request.hint / max(1, now - attempt.started))
             self.fleet.ran(attempt.request.slots, now - attempt.started if attempt.started else latency)
             if not self.told.tells_start:
                 self._press(now, False)
+        elif outcome == api.ERROR:
+            # What fails at once looks idle and would draw the most work of all.
+            worker.errors += ERROR_STEP * (1.0 - worker.errors)
+            if worker.errors > ERROR_MOST:
+                worker.ill_until = now + int((ILL_FOR << min(worker.relapses, ILL_DOUBLINGS))
+                                             * (0.5 + self.random()))
+                worker.relapses += 1
+                self._tell(now, worker)
         elif outcome == api.FULL:
             worker.full_until = now + FULL_REST
             if attempt.number:  # also elsewhere: not one worker, nor one key's homes
