Send what must not run twice on new connections; distrust kept ones after a break

Idle time was ruled out (dropped after 4.5 of 5 s as the settings say).

servers.py: UNSAFE schedulings dial anew; when a kept connection breaks in use, all schedulings do for 10 s and one idle connection a server is kept for probes, which show when trust may return.

--- a/violetsaddle/net/flows.py
+++ b/violetsaddle/net/flows.py
@@ -52,9 +52,10 @@
     """One attempt of a flow at a real server."""
 
     __slots__ = ("flow", "job", "number", "server", "sent", "ended", "late", "ticket", "written", "accepted",
-                 "name")
+                 "name", "once")
 
-    def __init__(self, flow: int, job: str, number: int, server: int, sent: int) -> None:
+    def __init__(self, flow: int, job: str, number: int, server: int, sent: int, once: bool) -> None:
+        self.once = once  # if it breaks off, no other may follow
         self.flow, self.job, self.number, self.server, self.sent = flow, job, number, server, sent
         self.ended = False  # its one outcome is known
         self.late: Deadline | None = None
@@ -88,9 +89,10 @@
 
 
 class Flow:
-    __slots__ = ("number", "job", "order", "asker", "deadline", "schedulings", "guard", "late")
+    __slots__ = ("number", "job", "order", "asker", "deadline", "schedulings", "guard", "late", "once")
 
-    def __init__(self, job: str, order: Order, asker: Asker, deadline: int) -> None:
+    def __init__(self, job: str, order: Order, asker: Asker, deadline: int, once: bool) -> None:
+        self.once = once  # it must not run twice
         self.number, self.job, self.order, self.deadline = -1, job, order, deadline
         self.asker: Asker | None = asker  # None: the final answer is given
         self.schedulings: list[Scheduling] = []
@@ -159,7 +161,7 @@
             remaining = max(1, min(remaining, self.last_word - now))
         # The module's time ends a little before the client's: the answer needs some to arrive.
         given = remaining - min(self._limits.answer_margin, remaining // 10)
-        flow = Flow(job, order, asker, now + given)
+        flow = Flow(job, order, asker, now + given, self._told.classes[index].effect == api.UNSAFE)
         number = flow.number = self._table.put(flow)
         self._by_job[job] = number
         # Guards against a flow the module holds or lost past its deadline.
@@ -286,7 +288,7 @@
             return
         now = monotonic()
         until = min(until, flow.deadline) if until else flow.deadline
-        scheduling = Scheduling(flow.number, job, len(flow.schedulings), worker, now)
+        scheduling = Scheduling(flow.number, job, len(flow.schedulings), worker, now, flow.once)
         flow.schedulings.append(scheduling)
         if flow.asker is None or now >= until or len(flow.schedulings) > self._told.most_attempts:
             self.ended(scheduling, api.MOOT)
--- a/violetsaddle/net/limits.py
+++ b/violetsaddle/net/limits.py
@@ -19,6 +19,7 @@
     server_connections: int
     server_idle: int  # an idle connection to a real server is dropped before the server drops it
     dial: int
+    doubt: int = 10 * SECOND  # kept connections carry no schedulings so long after one broke in use
     head: int = 16 * 1024
     fields: int = 100  # in one head
     body: int = 64 * 1024
@@ -37,7 +38,8 @@
     watch_pause: int = 50 * MS  # between calls that bring nothing new; 200 ms would end the watch
     watch_grace: int = 2 * SECOND  # and answers so much later at the latest
     linger: int = 450 * MS  # after SIGTERM, connections still come for up to 400 ms
-    keep_asking: int = 2500 * MS  # after SIGTERM, clients may use the connections they have so long
+    keep_asking: int = 2 * SECOND  # after SIGTERM, clients may use the connections they have so long
+    keep_idle: int = 2500 * MS  # after SIGTERM, unused ones stay open so long
     last_word: int = 3400 * MS  # after SIGTERM, what comes after the linger is answered by then
     drain: int = SECOND  # a refused message's rest is read so long, or the answer might not arrive
     farewell: int = SECOND  # for the last answers to leave before the program ends
--- a/violetsaddle/net/node.py
+++ b/violetsaddle/net/node.py
@@ -113,15 +113,15 @@
             self._stopping = True
             self.counters.say("stopping")
             self.flows.last_word = monotonic() + self.limits.last_word
-            self.deadlines.after(self.limits.linger, self._announce)
-            self.deadlines.after(self.limits.keep_asking, self._close)
-
-    def _announce(self) -> None:
-        """Every answer now closes its connection.  Unused ones stay: where the other nodes of the zone are
-        down too, they are the clients' only way."""
-        self.counters.say("closing connections with their next answer")
+            self.deadlines.after(self.limits.linger, self._hurry)
+            self.deadlines.after(self.limits.keep_asking, self.edge.announce)
+            self.deadlines.after(self.limits.keep_idle, self._close)
+
+    def _hurry(self) -> None:
+        """No new connections come any more, but clients use the ones they have: where the other nodes of the
+        zone are down too, these are their only way.  New flows must end before SIGKILL may come."""
+        self.counters.say("new flows end by the last word")
         self.flows.ending = True
-        self.edge.announce()
 
     def _close(self) -> None:
         """What is owed is still finished; real servers call back at the node's address, so it stays open
--- a/violetsaddle/net/servers.py
+++ b/violetsaddle/net/servers.py
@@ -67,6 +67,7 @@
         self._written = False
         self._on_written: Callable[[], None] | None = None
         self.open = False
+        self.fresh = False  # nothing was sent on it before
 
     def connectionMade(self) -> None:
         self.open = True
@@ -185,6 +186,7 @@
         self._by_number: dict[int, RealServer] = {}
         self._connections: SlotTable[ServerConnection] = SlotTable()
         self._dialling = 0
+        self._doubt_until = 0
         self._may_cancel = told.may_cancel
         self._probe_path = "/metrics/load" if told.report_by_probe else "/alive"
 
@@ -233,8 +235,8 @@
         if connection.server is not None and connection.number in connection.server.idle:
             connection.server.idle.remove(connection.number)
 
-    async def _connect(self, server: RealServer) -> ServerConnection:
-        while server.idle:
+    async def _connect(self, server: RealServer, fresh: bool) -> ServerConnection:
+        while server.idle and not fresh:
             connection = self._connections.get(server.idle.pop())
             if connection is not None and connection.open:
                 self._deadlines.drop(connection.due)
@@ -249,6 +251,7 @@
         finally:
             self._dialling -= 1
         connection.number, connection.server = self._connections.put(connection), server
+        connection.fresh = True
         self._counters.add("server_connections")
         return connection
 
@@ -271,7 +274,9 @@
         server = connection.server
         if not connection.open or server is None:
             return
-        if not server.listed:
+        connection.fresh = False
+        # In doubt, one is enough: probes use it, and so show when kept connections can be trusted again.
+        if not server.listed or (server.idle and monotonic() < self._doubt_until):
             self._close(connection)
             return
         server.idle.append(connection.number)
@@ -287,9 +292,17 @@
         connection.due = self._deadlines.after(self._limits.server_idle, idled)
 
     async def _exchange(self, server: RealServer, message: Callable[[], Sequence[bytes]],
-                        on_written: Callable[[], None] | None = None) -> http.Message:
-        connection = await self._connect(server)
-        answer = await connection.exchange(message(), on_written)
+                        on_written: Callable[[], None] | None = None, fresh: bool = False) -> http.Message:
+        connection = await self._connect(server, fresh)
+        try:
+            answer = await connection.exchange(message(), on_written)
+        except Broken:
+            # Guards against real servers (or boxes between) that drop kept connections without a word: each
+            # request written to one ends as a reset, of which nobody knows whether it ran.
+            if not connection.fresh:
+                self._counters.add("kept_broken")
+                self._doubt_until = monotonic() + self._limits.doubt
+            raise
         self._keep(connection)
         return answer
 
@@ -319,7 +332,8 @@
 
         try:
             answer = await self._exchange(
-                server, lambda: order.message(server.address, until - monotonic()), written)
+                server, lambda: order.message(server.address, until - monotonic()), written,
+                fresh=scheduling.once or monotonic() < self._doubt_until)
         except NotConnected:
             self._flows.ended(scheduling, api.CONNECT_FAILED)
         except Broken as broken:
