--- a/violetsaddle/policy.py
+++ b/violetsaddle/policy.py
@@ -28,8 +28,7 @@
 PACE_DOWN, PACE_UP, PACE_LEAST, PACE_MOST = 0.88, 1.04, 0.3, 1.0  # on the estimate: a backlog must drain
 # The 'full' window
 TIGHT_FOR = SECOND  # drawn from half to one and a half of it: schedulers must not loosen in step
-PATIENCE = 0.4  # share of the aim: a job not started by then is late and may get a second copy
-KEY_PATIENCE = 0.8  # the same with a key: waiting at its home is often better than fetching
+PATIENCE, KEY_PATIENCE = 0.4, 0.8  # share of the aim: a job not started by then (with a key) is late
 PRESSURE_KEEPS = 0.92  # memory of the share of turned-away or late starts: about the last 12 jobs
 PRESSURE_TIGHT = 0.25  # above it the fleet counts as full, not just one worker, if reports show little room
 PRESSURE_SURE = 0.5  # above it the fleet counts as full whatever stale reports show
@@ -61,7 +60,7 @@
 # Further tries
 RETRY_SHARE, RETRY_MOST = 0.5, 20.0  # failure retries earned by a request, and kept at most
 COPY_SHARE, COPY_MOST = 0.15, 6.0  # second copies earned by a request, and kept at most
-KEY_COPY = 5.0  # copies that one of a job with a key counts for: it fetches anew
+KEY_COPY = 5.0  # copies that one of a job with a key counts for
 RETRY_WAIT = SECOND // 20  # mean wait before a second retry, doubled by each
 HOLD_WAIT = SECOND // 10  # a request without any worker to go to looks again so often
 WINDOW_MARGIN = SECOND // 2  # a repeat must arrive before the group forgets
@@ -192,10 +191,8 @@
 
 
 def same_group(request: Request, worker: Worker) -> bool:
-    """Whether the worker discards what every earlier attempt that may have run has done.
-
-    An attempt is known by the cell and zone its worker had at the send: a worker that has moved since
-    answers for neither."""
+    """Whether the worker discards what every earlier attempt that may have run has done; a worker that has
+    moved since the send answers for neither of its places."""
     group = request.spec.group
     return request.spec.effect != api.KEYED or group == "all" or all(
         getattr(worker, group) == getattr(a, group) == getattr(a.worker, group)
@@ -501,10 +498,8 @@
         self.fleet.most_free[worker.kind] = max(free, self.fleet.most_free.get(worker.kind, 0.0))
 
     def _cold_allows(self, now: int, worker: Worker, slots: float) -> float:
-        """Share of its capacity that a cold worker surely has; 0 where its budget is spent.
-
-        The budget is in what this scheduler sends a mean warm worker: with all schedulers doing so, a cold
-        worker gets at most its share of what warm ones bear."""
+        """Share of its capacity that a cold worker surely has; 0 where its budget, in what this scheduler
+        sends a mean warm worker, is spent."""
         told = self.told
         warmth = 1.0 - (worker.cold_until - now) / told.cold_for
         share = told.cold_from + (1.0 - told.cold_from) * min(1.0, max(0.0, warmth))
@@ -582,8 +577,7 @@
         return load
 
     def _home(self, now: int, request: Request, key: int) -> Worker | None:
-        """Draws a job with a key from the key's homes, the same at every scheduler, so that they hold what
-        it needs; as many as its share of the traffic takes. None where they are crowded."""
+        """One of the key's homes, the same at every scheduler; as many as its share of the traffic takes."""
         ring = self.ring
         if not self.workers:
             return None
