Let watches wait 4 s instead of 20, so that a silent discovery is noticed

The first watch got no answer on its connection and was given up after 22 s only (limits.watch_wait, watch_grace).

Now 4 s and 1 s, a quarter of a call a second from each node; failed calls are asked again after 0.5 to 3 s at most.

--- a/tests/test_node.py
+++ b/tests/test_node.py
@@ -505,6 +505,22 @@
             d expect after=0&wait_ms=
         """)
 
+    def test_a_silent_discovery_is_asked_again_on_a_new_connection(self) -> None:
+        # One silent call once held the watch for 22 s, while real servers were released and replaced.
+        self.start({"discovery": "ask"})
+        begun = time.monotonic()
+        self.play("""
+            d expect after=1
+            d wait
+            d close
+            d expect after=1
+            d send list 2 s-1=up
+            d expect after=2
+            node send USR1
+            node expect counters | watch_broken=1 | lists_error=1
+        """)
+        self.assertLess(time.monotonic() - begun, 10)
+
     def test_a_failed_call_is_told_and_asked_again(self) -> None:
         self.start({"discovery": "ask"})
         self.play("""
--- a/violetsaddle/net/limits.py
+++ b/violetsaddle/net/limits.py
@@ -34,9 +34,9 @@
     edge_first: int = 2 * SECOND  # from a connection's start to its first message's last byte
     edge_read: int = 2 * SECOND  # from a later message's first byte to its last
     edge_settled: int = 300 * MS  # a client that will ask has sent its first byte by then
-    watch_wait: int = 20 * SECOND  # discovery may hold a watch so long
+    watch_wait: int = 4 * SECOND  # discovery may hold a watch so long: a silent one is noticed no sooner
     watch_pause: int = 50 * MS  # between calls that bring nothing new; 200 ms would end the watch
-    watch_grace: int = 2 * SECOND  # and answers so much later at the latest
+    watch_grace: int = SECOND  # and answers so much later at the latest
     linger: int = 450 * MS  # after SIGTERM, connections still come for up to 400 ms
     keep_asking: int = 2 * SECOND  # after SIGTERM, clients may use the connections they have so long
     keep_idle: int = 2500 * MS  # after SIGTERM, unused ones stay open so long
--- a/violetsaddle/policy.py
+++ b/violetsaddle/policy.py
@@ -66,7 +66,7 @@
 WINDOW_MARGIN = SECOND // 2  # a repeat must arrive before the group forgets
 COLD_SAFETY = 0.5  # of the cold budget that is used: others may carry more than their part
 WATCH_SPREAD = 2 * SECOND  # first subscriptions of schedulers started together are spread over this
-WATCH_WAIT, WATCH_DOUBLINGS = SECOND, 3  # wait after a failed call, doubled by each so often
+WATCH_WAIT, WATCH_DOUBLINGS = SECOND, 1  # wait after a failed call, doubled by each so often
 
 
 def mix(key: int, salt: int) -> int:
