--- a/tests/test_departures.py
+++ b/tests/test_departures.py
@@ -108,6 +108,57 @@
     assert not recorder.named("probe")
 
 
+def test_a_job_that_waits_moves_to_a_worker_that_can_start_it() -> None:
+    balancer, recorder = make(workers=2, second_copies=False, tells_start=True, may_tell=True, schedulers=2)
+    balancer.fleet.most_free[0] = 1.0
+    for cls, moves in ((0, True), (3, False)):
+        job, now = f"j{cls}", cls * 5 * SECOND
+        balancer.request(now, job, cls, 4 * SECOND)
+        other = 3 - recorder.sent_to(job)[0]
+        mark = balancer.workers[other].mark
+        balancer.heard(now + 1, 1, bytes((1, mark >> 8, mark & 0xFF, 1)))
+        run_until(balancer, recorder, now, now + 300 * MS)
+        assert not recorder.named("cancel")[cls:], "the other worker is taken by a peer's job"
+        balancer.heard(now + 300 * MS, 1, bytes((2, mark >> 8, mark & 0xFF, 0)))
+        run_until(balancer, recorder, now + 300 * MS, now + 600 * MS)
+        assert [c[1] for c in recorder.named("cancel")] == ["j0"], "what must not run twice stays"
+        if moves:
+            balancer.answer(now + 600 * MS, job, 0, "cancelled", 1, False, None)
+            assert recorder.sent_to(job)[1] == other
+            balancer.answer(now + 600 * MS, job, 1, "ok", 1, True, None)
+
+
+def test_what_answers_errors_rests_here_and_at_peers() -> None:
+    balancer, recorder = make(workers=4, may_tell=True, schedulers=2)
+    for n in range(60):
+        balancer.request(n, f"j{n}", 3, SECOND)
+        worker = recorder.sent_to(f"j{n}")[0]
+        balancer.answer(n, f"j{n}", 0, "error" if worker == 1 else "ok", 1, worker != 1, None)
+    assert sum(d[2] == 1 for d in recorder.named("send")) < 6, "an error at once looks like an idle worker"
+    ill = [d[1] for d in recorder.named("tell") if d[1][-1] & 0x80]
+    other, heard = make(workers=4, seed=2, may_tell=True, schedulers=2)
+    other.heard(100, 1, ill[0])
+    for n in range(30):
+        other.request(101 + n, f"k{n}", 0, SECOND)
+        other.answer(101 + n, f"k{n}", 0, "ok", 1, True, None)
+    assert all(d[2] != 1 for d in heard.named("send"))
+    for strange in (b"", b"\x01\x02", bytes(3 * 90), ill[0] * 7):
+        other.heard(200, 1, strange)
+        other.heard(200, 9, strange)
+
+
+def test_buckets_follow_the_schedulers_heard_of() -> None:
+    balancer, recorder = make(may_tell=True, schedulers=3)
+    balancer.fleet.rate, balancer.pressure = 30 / SECOND, 1.0
+    run_until(balancer, recorder, 0, 2 * SECOND)
+    assert balancer.schedulers == 3
+    balancer.heard(2 * SECOND, 1, b"\x80")
+    run_until(balancer, recorder, 2 * SECOND, 4 * SECOND)
+    assert balancer.schedulers == 2
+    run_until(balancer, recorder, 4 * SECOND, 8 * SECOND)
+    assert balancer.schedulers == 1
+
+
 def test_own_zone_first_only_while_reports_show_room() -> None:
     shares = []
     for crowd in (0.0, 1.0):
--- a/violetsaddle/policy.py
+++ b/violetsaddle/policy.py
@@ -39,14 +39,11 @@
 FRESH = 2 * SECOND  # a load report older than this says nothing of now
 FULL_REST = SECOND // 4  # a worker that was full is left alone so long
 TOLD_FOR = 3 * SECOND  # what a peer told of its jobs in flight counts so long without a further word
-SPEED_STEP = 0.3  # weight of each new run time in a worker's speed
-HOME_BONUS = 1.15  # appeal of the own zone in a tie
+HOME_BONUS, SILENT_NOTES = 1.15, 2.5  # appeal of the own zone in a tie; progress intervals without a word
 AWAY, AWAY_CROWD = 0.05, 0.9  # weight of other zones' workers while fewer than so many are seen without room
 REPORTS_ENOUGH, PROBES_LEAST = 150, 0.1  # where peers tell their jobs, reports show little but the slots
-MOST_TOLD = 80  # workers in one telling: a datagram holds 256 bytes
-MOST_AHEAD = 8  # workers drawn and probed ahead
-KEY_SPREAD = 2.0  # homes of a key: this many times its share of the traffic in workers, and two more
-MOST_KEYS = 4096  # keys counted before counting starts anew
+MOST_TOLD, MOST_AHEAD = 80, 8  # workers in one telling (256 bytes at most); drawn and probed ahead
+KEY_SPREAD, MOST_KEYS = 2.0, 4096  # homes of a key: so often its share in workers, and two; keys counted
 LIVE_CROWDED = 0.5  # of its largest live weight: the worker holds more than a request a core
 # Health
 SHUT_FOR, MOST_STRIKES = SECOND, 4  # first ejection, doubled by each strike up to so many
@@ -54,15 +51,13 @@
 DOUBT = 0.2  # trust in a worker that was struck, doubled by each sign of life
 ERROR_STEP, ERROR_MOST = 0.15, 0.25  # weight of each outcome in the share of errors; above it a worker is ill
 ILL_FOR, ILL_DOUBLINGS = SECOND, 3  # an ill worker gets nothing so long, doubled by each relapse
-SPEED_EASE = 0.05  # of the way back to its kind's speed, each tick: a slow worker must get its chance
-ZONE_STRIKES, ZONE_DOUBT = 3, 0.04  # failures in a row for a zone to count as cut; draws it keeps as trials
-SILENT_NOTES = 2.5  # progress intervals without any sign of life
+SPEED_STEP, SPEED_EASE = 0.3, 0.05  # weight of a new run in a worker's speed; of its kind's, each tick
+ZONE_STRIKES, ZONE_DOUBT = 3, 0.04  # failures in a row until a zone counts as cut; draws it keeps
 # Further tries
 RETRY_SHARE, RETRY_MOST = 0.5, 20.0  # failure retries earned by a request, and kept at most
 COPY_SHARE, COPY_MOST = 0.15, 6.0  # second copies earned by a request, and kept at most
 KEY_COPY = 5.0  # copies that one of a job with a key counts for
-RETRY_WAIT = SECOND // 20  # mean wait before a second retry, doubled by each
-HOLD_WAIT = SECOND // 10  # a request without any worker to go to looks again so often
+RETRY_WAIT, HOLD_WAIT = SECOND // 20, SECOND // 10  # before a second retry, doubled by each; for a worker
 WINDOW_MARGIN = SECOND // 2  # a repeat must arrive before the group forgets
 COLD_SAFETY = 0.5  # of the cold budget that is used: others may carry more than their part
 WATCH_SPREAD = 2 * SECOND  # first subscriptions of schedulers started together are spread over this
@@ -721,6 +716,13 @@
             if worker.life <= attempt.sent and self.pressure < PRESSURE_TIGHT:
                 self._strike(now, worker)
         self._copy(now, request)
+        told = self.told
+        if (not attempt.started and told.may_cancel and not told.second_copies and self.retries >= 1.0
+                and request.spec.effect != api.UNSAFE and len(request.attempts) < told.most_attempts):
+            # Where one copy at most may be out, a job that waits moves to a worker that can start it now.
+            to = self._choose(now, request)
+            if to is not None and not self._crowded(now, to, request.slots):
+                return self.act.cancel(request.id, attempt.number)
         self._after(now, request.patience + 1, self._check, attempt)
 
     def _copy(self, now: int, request: Request) -> None:
