Ask discovery again at once and without a wait after a failed watch

A silent call counts as told 2 s after its wait (6 s); it was given up after 5 s and the module waited 0.5 to 1.5 s more (policy.members), too late with 0.5 s of grace.

Now a call is given up 0.6 s after its wait, asked again within 50 to 150 ms, then each 0.25 to 0.75 s, for the whole list without a wait and with 1.1 s for the answer (discovery._call).

--- a/violetsaddle/net/discovery.py
+++ b/violetsaddle/net/discovery.py
@@ -50,6 +50,7 @@
         self._running: Deferred[None] | None = None
         self._round = 0  # a watch that was moved away must not speak for the present one
         self._stopped = False
+        self._doubt = False  # the last call failed
 
     def take(self, told: Any, kind: str | None = None) -> None:
         """Hands a list on; raises `BadList`, and then nothing of it counts."""
@@ -124,7 +125,7 @@
     def _over(self, round: int) -> None:
         if round != self._round:
             return
-        self._watching = False
+        self._watching, self._doubt = False, True
         self._hang_up()
         if not self._stopped:
             self._flows.listed(api.LIST_ERROR, ())
@@ -139,6 +140,7 @@
                     break
                 held = self._version
                 self.take(json.loads(bytes(answer.body)))
+                self._doubt = False
                 if self._version == held:
                     # Guards against a discovery that answers at once with nothing new: it must not spin.
                     await self._pause()
@@ -162,11 +164,15 @@
                 lambda: ServerConnection(self._limits, lambda _: None))
         target = "/discovery/hosts"
         # Version 0 is one like any other: without `after` each call would bring the whole list at once.
-        if self._version is not None:
+        # After a failure the list is asked for without a wait: what was missed may count as told soon, and
+        # discovery may fall silent again.
+        late_after = self._limits.ask
+        if self._version is not None and not self._doubt:
+            late_after = self._limits.watch_wait + self._limits.watch_grace
             target += f"?after={self._version}&wait_ms={self._limits.watch_wait // MS}"
         self._counters.add("watch_calls")
         calling = self._connection.exchange([http.request("GET", target, f"{self._host}:{self._port}")])
-        late = self._deadlines.after(self._limits.watch_wait + self._limits.watch_grace, calling.cancel)
+        late = self._deadlines.after(late_after, calling.cancel)
         try:
             return await calling
         finally:
--- a/violetsaddle/policy.py
+++ b/violetsaddle/policy.py
@@ -61,7 +61,7 @@
 WINDOW_MARGIN = SECOND // 2  # a repeat must arrive before the group forgets
 COLD_SAFETY = 0.5  # of the cold budget that is used: others may carry more than their part
 WATCH_SPREAD = 2 * SECOND  # first subscriptions of schedulers started together are spread over this
-WATCH_WAIT, WATCH_DOUBLINGS = SECOND, 1  # wait after a failed call, doubled by each so often
+WATCH_SOON, WATCH_WAIT = SECOND // 10, SECOND // 2  # wait after a failed call, and after each further one
 
 
 def mix(key: int, salt: int) -> int:
@@ -357,7 +357,7 @@
     def members(self, now: int, kind: str, entries: Sequence[api.Entry]) -> None:
         """A list event; `kind` is one of the kinds of list in the interface."""
         if kind == api.LIST_ERROR:
-            wait = WATCH_WAIT << min(self.watch_fails, WATCH_DOUBLINGS)
+            wait = WATCH_WAIT if self.watch_fails else WATCH_SOON
             self.watching, self.watch_fails = False, self.watch_fails + 1
             # Every scheduler meets an outage together: their next calls are spread.
             self._after(now, int(wait * (0.5 + self.random())), self._watch, None)
@@ -716,10 +716,10 @@
             if worker.life <= attempt.sent and self.pressure < PRESSURE_TIGHT:
                 self._strike(now, worker)
         self._copy(now, request)
-        told = self.told
-        if (not attempt.started and told.may_cancel and not told.second_copies and self.retries >= 1.0
+        told, silent = self.told, not attempt.started and worker.life <= attempt.sent
+        if (silent and told.may_cancel and not told.second_copies and self.retries >= 1.0
                 and request.spec.effect != api.UNSAFE and len(request.attempts) < told.most_attempts):
-            # Where one copy at most may be out, a job that waits moves to a worker that can start it now.
+            # Where one copy at most may be out, a silent worker's job moves to one that can start it now.
             to = self._choose(now, request)
             if to is not None and not self._crowded(now, to, request.slots):
                 return self.act.cancel(request.id, attempt.number)
