Leave what is sent far ahead to the kernel instead of aborting a connection with an answer owed

edge.dataReceived raised 413 once more than 80 KB lay behind an awaited request and aborted the connection; the flow in front of it was lost. Reading now pauses until the answer is given. The scenario fails without the change.

--- a/tests/test_node.py
+++ b/tests/test_node.py
@@ -478,6 +478,18 @@
         self.play("\n".join(["c expect 429 | Retry-After"] * 500))
 
 
+    def test_too_much_sent_ahead_waits_and_loses_no_flow(self) -> None:
+        # The connection was once aborted, with the answer to its first request still owed.
+        self.start()
+        self.play("c send job a settle\nc send RAW " + "GET /up HTTP/1.1\\r\\nX: LONG(99)\\r\\n\\r\\n" * 1500)
+        self.play("""
+            s expect X-Txn: a
+            s send 202
+            s call+ a done result=kept
+            c expect 200 | kept
+        """ + "c expect 200 | ready\n" * 1500)
+
+
 class Watching(Scenario):
     def test_the_watch_goes_on_and_what_it_tells_is_used(self) -> None:
         self.start({"discovery": "ask"}, servers=2)
--- a/violetsaddle/net/edge.py
+++ b/violetsaddle/net/edge.py
@@ -108,6 +108,7 @@
         self._close_next = home.closing  # the present request is the last one
         self._continued = False
         self._lost = False
+        self._paused = False  # too much was sent ahead
         self._reading = False
         self.calls_back = False  # a real server's
         self._first = True  # no message has come whole
@@ -210,9 +211,11 @@
         self._parser.feed(data)
         try:
             if self._awaited:
-                # A client sends one request at a time; what it sends ahead waits, within bounds.
+                # A client sends one request at a time; what it sends ahead waits, within bounds; the rest is
+                # left to the kernel.  To close instead would lose the flow whose answer is owed.
                 if self._parser.held > self._shared.limits.head + self._shared.limits.body:
-                    raise http.Malformed(413, "too much sent ahead of an answer")
+                    self._paused = True
+                    self.transport.pauseProducing()
                 return
             self._read(fresh)
         except http.Malformed as error:
@@ -348,6 +351,9 @@
             return
         self._awaited, self._flow = False, -1
         self._answer(status, body, headers)
+        if self._paused and not self._closing:
+            self._paused = False
+            self.transport.resumeProducing()
         if self._parser.held and not self._closing:
             self.dataReceived(b"", True)
 
