--- /dev/null
+++ b/Makefile
@@ -0,0 +1,31 @@
+# make test: what CI runs.  make demo: a node at work on an emulated fleet.  make clean: removes what both made.
+PYTHON ?= python3
+ENV := .venv-ci
+BIN := $(ENV)/bin
+MADE_FROM := $(ENV)/made-from
+
+# An environment holds absolute paths: one made elsewhere, or from another pyproject.toml, is no use.
+WANTED = { echo "$(CURDIR)"; cat pyproject.toml; }
+
+.PHONY: env test demo clean
+
+env:
+	@$(WANTED) | cmp -s - $(MADE_FROM) 2>/dev/null || { \
+	    rm -rf $(ENV) && \
+	    $(PYTHON) -m venv $(ENV) && \
+	    $(BIN)/python -m pip install -q --disable-pip-version-check -e '.[dev]' && \
+	    $(WANTED) > $(MADE_FROM); }
+
+test: export PYTHONHASHSEED = 0
+test: env
+	$(BIN)/ruff check violetsaddle tests examples benchmarks
+	$(BIN)/mypy
+	$(BIN)/python examples/in_process.py
+	$(BIN)/python -m pytest -q
+
+demo: env
+	$(BIN)/violetsaddle demo
+
+clean:
+	rm -rf $(ENV) .mypy_cache .ruff_cache .pytest_cache build violetsaddle.egg-info
+	find violetsaddle tests examples benchmarks -name __pycache__ -prune -exec rm -rf {} +
--- a/tests/counted.py
+++ b/tests/counted.py
@@ -15,6 +15,7 @@
 
 
 def count(*_: object) -> None:
+    gc.unfreeze()
     kinds = Counter(type(held).__name__ for held in gc.get_objects())
     print("alive", " ".join(f"{kind}={kinds[kind]}" for kind in COUNTED), file=sys.stderr, flush=True)
 
@@ -25,7 +26,6 @@
 def started(node: Node) -> None:
     start(node)
     gc.disable()
-    gc.unfreeze()
     signal.signal(signal.SIGUSR2, count)
 
 
--- a/violetsaddle/__main__.py
+++ b/violetsaddle/__main__.py
@@ -7,12 +7,17 @@
 import resource
 import signal
 import sys
-from typing import Any
+from collections.abc import Callable
+from typing import TYPE_CHECKING, Any
 
 from violetsaddle import settings
 from violetsaddle.interface import SettingsError
 from violetsaddle.net.discovery import BadList, address
-from violetsaddle.net.node import Config, ConfigError, run
+from violetsaddle.net.limits import Limits
+from violetsaddle.net.node import Config, ConfigError, run, unchanged
+
+if TYPE_CHECKING:
+    from violetsaddle.log import Log
 
 
 def at(table: dict[str, Any], key: str, told: str | None, least: int = 1) -> tuple[str, int]:
@@ -75,18 +80,35 @@
         raise ConfigError(str(error)) from None
 
 
+def operated(name: str) -> tuple[Callable[[Limits], Limits], Log | None]:
+    """What the operator file changes; where none is named, nothing it needs is imported."""
+    path = os.environ.get("RELAY_OPERATOR")
+    if not path:
+        return unchanged, None
+    try:
+        from violetsaddle import log, operator
+    except ModuleNotFoundError as error:
+        raise ConfigError(f"RELAY_OPERATOR: needs the package {error.name}, which is not installed") from None
+    told = operator.load(path)
+    return told.limits_for, log.make(told.log, name, sys.stderr)
+
+
 def main() -> int:
     signal.signal(signal.SIGHUP, signal.SIG_IGN)  # until the node listens for it
     try:
         config = read()
+        adjust, log = operated(config.name)
     except (ConfigError, SettingsError) as error:
         print(f"violetsaddle: {error}".replace("\n", " "), file=sys.stderr)
         return 2
     try:
-        return run(config, reread)
+        return run(config, reread, adjust, log)
     except BadList as error:
         print(f"violetsaddle: known: {error}".replace("\n", " "), file=sys.stderr)
         return 2
+    finally:
+        if log is not None:
+            log.flush()
 
 
 if __name__ == "__main__":
--- a/violetsaddle/net/counters.py
+++ b/violetsaddle/net/counters.py
@@ -5,11 +5,26 @@
 import sys
 import traceback
 from collections import Counter
+from collections.abc import Callable
+from typing import Protocol
+
+
+class Sink(Protocol):
+    """Where an operator file sends the log; none of its methods raises."""
+
+    timer: Callable[[int, Callable[[], object]], object] | None  # runs something after so many microseconds
+
+    def say(self, text: str) -> None: ...
+
+    def fault(self, text: str, error: BaseException | None) -> None: ...
+
+    def event(self, name: str, level: str = "info", /, **fields: object) -> None: ...
 
 
 class Counters:
-    def __init__(self, name: str) -> None:
-        self.name = name
+    def __init__(self, name: str, log: Sink | None = None) -> None:
+        """`log`: takes the lines and events instead of standard error."""
+        self.name, self._log = name, log
         self._counts: Counter[str] = Counter()
 
     def add(self, what: str) -> None:
@@ -21,9 +36,20 @@
     def fault(self, text: str, error: BaseException | None) -> None:
         """Counts and tells of an exception that was caught where none should be."""
         self.add("faults")
+        if self._log is not None:
+            self._log.fault(text, error)
+            return
         self.say(text + ": " + "".join(traceback.format_exception(error)))
 
+    def event(self, name: str, level: str = "info", /, **fields: object) -> None:
+        """Something that happened to a flow, scheduling or real server; without a log of its own, nothing."""
+        if self._log is not None:
+            self._log.event(name, level, **fields)
+
     def say(self, text: str) -> None:
+        if self._log is not None:
+            self._log.say(text)
+            return
         try:
             print(f"{self.name}: {text}", file=sys.stderr, flush=True)
         except OSError:
--- a/violetsaddle/net/deadlines.py
+++ b/violetsaddle/net/deadlines.py
@@ -6,7 +6,7 @@
 
 import time
 from collections.abc import Callable
-from typing import Any, TypeAlias
+from typing import Any, Protocol, TypeAlias
 
 from sortedcontainers import SortedList
 from twisted.internet.base import DelayedCall
@@ -17,9 +17,22 @@
 Transport: TypeAlias = Any  # nor those of its transports
 
 
-def monotonic() -> int:
-    """The module's clock: microseconds that never go backwards."""
-    return time.monotonic_ns() // 1000
+class Clock(Protocol):
+    """Both in microseconds: one that never goes backwards, for everything the node does, and Unix time."""
+
+    def monotonic(self) -> int: ...
+
+    def unix(self) -> int: ...
+
+
+class SystemClock:
+    """The machine's own."""
+
+    def monotonic(self) -> int:
+        return time.monotonic_ns() // 1000
+
+    def unix(self) -> int:
+        return time.time_ns() // 1000
 
 
 def nothing() -> None:
@@ -39,8 +52,10 @@
 
 
 class Deadlines:
-    def __init__(self, reactor: Reactor, fault: Callable[[str, BaseException], None]) -> None:
+    def __init__(self, reactor: Reactor, clock: Clock, fault: Callable[[str, BaseException], None]) -> None:
+        """`now` is the clock of all that waits: whoever is given the deadlines needs no other."""
         self._reactor, self._fault = reactor, fault
+        self.now = clock.monotonic
         self._sorted: Any = SortedList()
         self._number = 0
         self._call: DelayedCall | None = None
@@ -59,7 +74,7 @@
         return deadline
 
     def after(self, wait: int, what: Callable[[], object]) -> Deadline:
-        return self.add(monotonic() + wait, what)
+        return self.add(self.now() + wait, what)
 
     def drop(self, deadline: Deadline | None) -> None:
         """Dropping one that has passed or was dropped does nothing."""
@@ -73,7 +88,7 @@
         if self._sweeping:
             return
         self._sweeping = True
-        now, last = monotonic(), self._number
+        now, last = self.now(), self._number
         while self._sorted and self._sorted[0].at <= now and self._sorted[0].number <= last:
             deadline = self._sorted.pop(0)
             what, deadline.what = deadline.what, nothing
@@ -94,7 +109,7 @@
                 return  # an early call only sweeps in vain
             self._call.cancel()
         self._call_at = at
-        self._call = self._reactor.callLater(max(0, at - monotonic()) / SECOND, self._called)
+        self._call = self._reactor.callLater(max(0, at - self.now()) / SECOND, self._called)
 
     def _called(self) -> None:
         self._call = None
--- a/violetsaddle/net/discovery.py
+++ b/violetsaddle/net/discovery.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import json
-import time
 from collections.abc import Sequence
 from typing import Any
 
@@ -13,7 +12,7 @@
 from violetsaddle import interface as api
 from violetsaddle.net import http
 from violetsaddle.net.counters import Counters
-from violetsaddle.net.deadlines import Deadlines, Reactor, monotonic
+from violetsaddle.net.deadlines import Clock, Deadlines, Reactor
 from violetsaddle.net.flows import Flows
 from violetsaddle.net.limits import MS, Limits
 from violetsaddle.net.servers import Broken, NotConnected, ServerConnection, Servers, dial
@@ -37,13 +36,13 @@
 
     def __init__(self, reactor: Reactor, limits: Limits, deadlines: Deadlines, counters: Counters,
                  flows: Flows, servers: Servers, at: tuple[str, int], zones: Sequence[str],
-                 kinds: Sequence[str]) -> None:
+                 kinds: Sequence[str], clock: Clock) -> None:
         self._reactor, self._limits, self._deadlines, self._counters = reactor, limits, deadlines, counters
         self._flows, self._servers, self._host, self._port = flows, servers, *at
         self._zones = {name: index for index, name in enumerate(zones)}
         self._kinds = {name: index for index, name in enumerate(kinds)}
         # Discovery tells Unix time, the module's clock is the monotonic one: this is what lies between.
-        self._clock_ahead = monotonic() - time.time_ns() // 1000
+        self._clock_ahead = clock.monotonic() - clock.unix()
         self._version: int | None = None  # of the list held; None: none is
         self._connection: ServerConnection | None = None
         self._watching = False
@@ -140,6 +139,7 @@
                 answer = await self._call()
                 if answer.status != 200:
                     self._counters.add("watch_refused")
+                    self._counters.event("watch refused", "warning", status=answer.status)
                     break
                 held = self._version
                 self.take(json.loads(bytes(answer.body)))
@@ -150,6 +150,7 @@
         except (NotConnected, Broken, CancelledError):
             if round == self._round:
                 self._counters.add("watch_broken")
+                self._counters.event("watch broken", "warning", at=f"{self._host}:{self._port}")
         except (BadList, ValueError, RecursionError) as error:
             self._counters.add("watch_bad")
             self._counters.say(f"discovery gave a bad list: {error}"[:300])
--- a/violetsaddle/net/edge.py
+++ b/violetsaddle/net/edge.py
@@ -17,7 +17,7 @@
 from violetsaddle import interface as api
 from violetsaddle.net import http
 from violetsaddle.net.counters import Counters
-from violetsaddle.net.deadlines import Deadline, Deadlines, Transport, monotonic
+from violetsaddle.net.deadlines import Deadline, Deadlines, Transport
 from violetsaddle.net.flows import Failure, Flows, Unfit
 from violetsaddle.net.limits import MS, SECOND, Limits
 from violetsaddle.net.slots import SlotTable
@@ -167,7 +167,7 @@
         self._home.gone()
 
     def _wait(self, time: int) -> None:
-        self._since = monotonic()
+        self._since = self._shared.deadlines.now()
         self._shared.deadlines.drop(self._due)
         number, connections = self.number, self._shared.connections
 
@@ -391,7 +391,7 @@
     def buildProtocol(self, addr: IAddress | None) -> EdgeConnection:
         connections = self.shared.connections
         if len(connections) + 1 >= self.shared.limits.edge_connections:
-            now = monotonic()
+            now = self.shared.deadlines.now()
             places = [(place, c) for c in connections if (place := c.gives_way(now)) is not None]
             if places:
                 min(places, key=lambda p: p[0])[1].make_room()
--- a/violetsaddle/net/flows.py
+++ b/violetsaddle/net/flows.py
@@ -8,13 +8,13 @@
 import enum
 from collections import OrderedDict, deque
 from collections.abc import Callable, Sequence
-from typing import Any, Protocol
+from typing import Any, Protocol, TypeAlias
 
 from twisted.internet.defer import Deferred
 
 from violetsaddle import interface as api
 from violetsaddle.net.counters import Counters
-from violetsaddle.net.deadlines import Deadline, Deadlines, monotonic
+from violetsaddle.net.deadlines import Deadline, Deadlines
 from violetsaddle.net.limits import Limits
 from violetsaddle.net.slots import SlotTable
 from violetsaddle.policy import Balancer
@@ -89,6 +89,10 @@
     def watch(self) -> None: ...
 
 
+# Settings, seed, time and actions to something with the events of `Balancer`.
+Decider: TypeAlias = Callable[[api.Settings, int, int, api.Actions], Any]
+
+
 class Flow:
     __slots__ = ("number", "job", "order", "asker", "deadline", "schedulings", "guard", "late", "once")
 
@@ -103,7 +107,9 @@
 
 class Flows:
     def __init__(self, told: api.Settings, classes: Sequence[str], tenants: Sequence[str], seed: int,
-                 limits: Limits, deadlines: Deadlines, counters: Counters) -> None:
+                 limits: Limits, deadlines: Deadlines, counters: Counters,
+                 decider: Decider = Balancer) -> None:
+        """`decider` makes the decision module; experiments put another one in its place."""
         self._told, self._limits, self._deadlines, self._counters = told, limits, deadlines, counters
         self._classes = {name: index for index, name in enumerate(classes)}
         self._tenants = {name: index for index, name in enumerate(tenants)}
@@ -118,7 +124,7 @@
         self.teller: Teller | None = None  # None: there are no peers, or no way to them
         self._over: OrderedDict[str, None] = OrderedDict()  # ids of the last flows that are over
         self.when_idle: Callable[[], None] | None = None  # called when the last flow has ended
-        self._balancer = Balancer(told, seed, monotonic(), self)
+        self._balancer = decider(told, seed, deadlines.now(), self)
 
     def __len__(self) -> int:
         return len(self._table)
@@ -157,7 +163,7 @@
         # Guards against an id sent again once its flow is over: real servers may have run it already.
         if job in self._by_job or job in self._over:
             raise Unfit("the id is in use")
-        now = monotonic()
+        now = self._deadlines.now()
         if self.ending:
             remaining = max(1, min(remaining, self.last_word - now))
         # The module's time ends a little before the client's: the answer needs some to arrive.
@@ -191,19 +197,20 @@
         self._counters.add("askers_gone")
         flow.asker = None
         job = flow.job
-        self._tell(lambda: self._balancer.gone(monotonic(), job))
+        self._tell(lambda: self._balancer.gone(self._deadlines.now(), job))
         self._tidy(flow)
 
     def listed(self, kind: str, entries: Sequence[api.Entry]) -> None:
         self._counters.add("lists_" + kind)
-        self._tell(lambda: self._balancer.members(monotonic(), kind, entries))
+        self._counters.event("list applied", "debug", kind=kind, entries=len(entries))
+        self._tell(lambda: self._balancer.members(self._deadlines.now(), kind, entries))
 
     def probed(self, server: int, ok: bool, report: api.Report | None) -> None:
         self._counters.add("probes_ok" if ok else "probes_failed")
-        self._tell(lambda: self._balancer.probed(monotonic(), server, ok, report))
+        self._tell(lambda: self._balancer.probed(self._deadlines.now(), server, ok, report))
 
     def heard(self, peer: int, data: bytes) -> None:
-        self._tell(lambda: self._balancer.heard(monotonic(), peer, data))
+        self._tell(lambda: self._balancer.heard(self._deadlines.now(), peer, data))
 
     def find(self, job: str, name: str) -> Scheduling | None:
         """The scheduling that a real server, known by its name, may still speak of."""
@@ -217,7 +224,7 @@
     def noted(self, scheduling: Scheduling, what: int, amount: float) -> None:
         if not scheduling.ended:
             self._tell(lambda: self._balancer.note(
-                monotonic(), scheduling.job, scheduling.number, what, amount))
+                self._deadlines.now(), scheduling.job, scheduling.number, what, amount))
 
     def ended(self, scheduling: Scheduling, outcome: str, report: api.Report | None = None,
               result: bytes | None = None) -> None:
@@ -231,12 +238,16 @@
         if flow is None:
             return
         flow.late = outcome == api.TIMEOUT
+        if outcome != api.OK:
+            self._counters.event("scheduling ended badly", flow=scheduling.job, scheduling=scheduling.number,
+                                 server=scheduling.name, outcome=outcome,
+                                 after_us=self._deadlines.now() - scheduling.sent)
         if outcome == api.OK and flow.asker is not None:
             asker, flow.asker = flow.asker, None
             self._counters.add("answered_served")
             asker.served(result or b"")
         over = flow.asker is None
-        now = monotonic()
+        now = self._deadlines.now()
         self._tell(lambda: self._balancer.answer(
             now, scheduling.job, scheduling.number, outcome, now - scheduling.sent, over, report))
         self._tidy(flow)
@@ -247,8 +258,9 @@
             return
         self._counters.add("overdue")
         job = flow.job
+        self._counters.event("flow overdue", "warning", flow=job)
         self._fail(flow, Failure.LATE)
-        self._tell(lambda: self._balancer.gone(monotonic(), job))
+        self._tell(lambda: self._balancer.gone(self._deadlines.now(), job))
 
     def _expired(self, scheduling: Scheduling) -> None:
         """Time ran out on a scheduling."""
@@ -256,7 +268,7 @@
         if scheduling.ended or flow is None:
             return
         told = self.carrier.give_up(scheduling)
-        if monotonic() >= flow.deadline:
+        if self._deadlines.now() >= flow.deadline:
             self.ended(scheduling, api.TIMEOUT)
         else:
             # Another scheduling may follow: it must not leave before the old one's end is out.
@@ -287,7 +299,7 @@
         flow = self._table.get(self._by_job.get(job, -1))
         if flow is None:
             return
-        now = monotonic()
+        now = self._deadlines.now()
         until = min(until, flow.deadline) if until else flow.deadline
         scheduling = Scheduling(flow.number, job, len(flow.schedulings), worker, now, flow.once)
         flow.schedulings.append(scheduling)
@@ -330,4 +342,4 @@
         self.watcher.watch()
 
     def arm(self, time: int) -> None:
-        self._deadlines.add(time, lambda: self._tell(lambda: self._balancer.wake(monotonic())))
+        self._deadlines.add(time, lambda: self._tell(lambda: self._balancer.wake(self._deadlines.now())))
--- a/violetsaddle/net/node.py
+++ b/violetsaddle/net/node.py
@@ -12,14 +12,15 @@
 from twisted.logger import LogEvent, globalLogBeginner
 
 from violetsaddle import interface as api
-from violetsaddle.net.counters import Counters
-from violetsaddle.net.deadlines import Deadlines, Reactor, monotonic
+from violetsaddle.net.counters import Counters, Sink
+from violetsaddle.net.deadlines import Clock, Deadlines, Reactor, SystemClock
 from violetsaddle.net.discovery import Discovery
 from violetsaddle.net.edge import EdgeFactory, Shared
-from violetsaddle.net.flows import Flows
+from violetsaddle.net.flows import Decider, Flows
 from violetsaddle.net.limits import Limits
 from violetsaddle.net.peers import Peers
 from violetsaddle.net.servers import Servers
+from violetsaddle.policy import Balancer
 
 
 class ConfigError(Exception):
@@ -47,18 +48,28 @@
     kinds: Sequence[str]
 
 
+def unchanged(limits: Limits) -> Limits:
+    return limits
+
+
 class Node:
-    def __init__(self, reactor: Reactor, config: Config, reread: Callable[[], Config]) -> None:
+    def __init__(self, reactor: Reactor, config: Config, reread: Callable[[], Config],
+                 adjust: Callable[[Limits], Limits] = unchanged, log: Sink | None = None,
+                 clock: Clock | None = None, decider: Decider = Balancer) -> None:
+        """`adjust` and `log` are what an operator file asks for; without a clock it is the machine's."""
+        clock = clock or SystemClock()
         self._reactor, self._config, self._reread = reactor, config, reread
-        self.limits = Limits.of(config.told, config.sockets)
-        self.counters = Counters(config.name)
-        self.deadlines = Deadlines(reactor, self.counters.fault)
+        self.limits = adjust(Limits.of(config.told, config.sockets))
+        self.counters = Counters(config.name, log)
+        self.deadlines = Deadlines(reactor, clock, self.counters.fault)
+        if log is not None:
+            log.timer = self.deadlines.after
         self.flows = Flows(config.told, config.classes, config.tenants, config.seed, self.limits,
-                           self.deadlines, self.counters)
+                           self.deadlines, self.counters, decider)
         self.servers = Servers(reactor, self.limits, self.deadlines, self.counters, self.flows, config.told,
                                config.fields)
         self.discovery = Discovery(reactor, self.limits, self.deadlines, self.counters, self.flows,
-                                   self.servers, config.discovery, config.zones, config.kinds)
+                                   self.servers, config.discovery, config.zones, config.kinds, clock)
         self.flows.carrier, self.flows.watcher = self.servers, self.discovery
         self.edge = EdgeFactory(Shared(self.flows, self.limits, self.deadlines, self.counters,
                                        self.servers.report))
@@ -77,13 +88,6 @@
             self.flows.teller = peers
         self._port = self._reactor.listenTCP(port, self.edge, self.limits.backlog, host)
         self.edge.hold = self._hold
-        for number, what in ((signal.SIGTERM, self.stop), (signal.SIGINT, self.stop),
-                             (signal.SIGHUP, self.reload), (signal.SIGUSR1, self.counters.show)):
-            signal.signal(number, lambda *_, what=what: self._reactor.callFromThread(what))
-        # What lives as long as the program is no work for the collector.
-        gc.collect()
-        gc.freeze()
-        gc.set_threshold(20_000, 20, 50)
         at = self._port.getHost()
         self.counters.say(f"listening on {at.host}:{at.port}")
 
@@ -112,7 +116,7 @@
         if not self._stopping:
             self._stopping = True
             self.counters.say("stopping")
-            self.flows.last_word = monotonic() + self.limits.last_word
+            self.flows.last_word = self.deadlines.now() + self.limits.last_word
             self.deadlines.after(self.limits.linger, self._hurry)
             self.deadlines.after(self.limits.keep_asking, self.edge.announce)
             self.deadlines.after(self.limits.keep_idle, self._close)
@@ -156,18 +160,26 @@
             self.counters.fault("caught by Twisted", failure.value)
 
 
-def run(config: Config, reread: Callable[[], Config]) -> int:
+def run(config: Config, reread: Callable[[], Config], adjust: Callable[[Limits], Limits] = unchanged,
+        log: Sink | None = None) -> int:
     from twisted.internet import reactor  # the default one: epoll where there is epoll
 
-    node = Node(reactor, config, reread)
+    node = Node(reactor, config, reread, adjust, log)
     observer: Any = node.observe  # its interface is declared in a way that type checkers can't read
     globalLogBeginner.beginLoggingTo([observer], redirectStandardIO=False, discardBuffer=True)
+    running: Reactor = reactor
+    for number, what in ((signal.SIGTERM, node.stop), (signal.SIGINT, node.stop),
+                         (signal.SIGHUP, node.reload), (signal.SIGUSR1, node.counters.show)):
+        signal.signal(number, lambda *_, what=what: running.callFromThread(what))
     try:
         node.start()
     except CannotListenError as error:
         node.counters.say(f"listen: {error}")
         return 1
-    running: Reactor = reactor
+    # What lives as long as the program is no work for the collector.
+    gc.collect()
+    gc.freeze()
+    gc.set_threshold(20_000, 20, 50)
     running.run(installSignalHandlers=False)
     node.counters.show()
     return 0
--- a/violetsaddle/net/servers.py
+++ b/violetsaddle/net/servers.py
@@ -16,7 +16,7 @@
 from violetsaddle import interface as api
 from violetsaddle.net import http
 from violetsaddle.net.counters import Counters
-from violetsaddle.net.deadlines import Deadline, Deadlines, Reactor, Transport, monotonic, nothing
+from violetsaddle.net.deadlines import Deadline, Deadlines, Reactor, Transport, nothing
 from violetsaddle.net.flows import Flows, Order, Scheduling
 from violetsaddle.net.limits import Limits
 from violetsaddle.net.slots import SlotTable
@@ -334,7 +334,7 @@
             return
         connection.fresh = False
         # In doubt, one is enough: probes use it, and so show when kept connections can be trusted again.
-        if not server.listed or (server.idle and monotonic() < self._doubt_until):
+        if not server.listed or (server.idle and self._deadlines.now() < self._doubt_until):
             self._close(connection)
             return
         server.idle.append(connection.number)
@@ -376,7 +376,9 @@
         # request written to one ends as a reset, of which nobody knows whether it ran.
         if isinstance(reason.value, Broken) and not connection.fresh:
             self._counters.add("kept_broken")
-            self._doubt_until = monotonic() + self._limits.doubt
+            if connection.server is not None:
+                self._counters.event("kept connection broke", "warning", server=connection.server.name)
+            self._doubt_until = self._deadlines.now() + self._limits.doubt
         return reason
 
     def _failed(self, reason: Reason) -> None:
@@ -396,8 +398,8 @@
             scheduling.written = True
 
         ticket = scheduling.ticket = self._exchange(
-            server, lambda: order.message(address, until - monotonic()), written,
-            fresh=scheduling.once or monotonic() < self._doubt_until)
+            server, lambda: order.message(address, until - self._deadlines.now()), written,
+            fresh=scheduling.once or self._deadlines.now() < self._doubt_until)
         ticket.addCallbacks(self._answered, self._not_carried, (scheduling,), errbackArgs=(scheduling,))
         ticket.addErrback(self._failed)
 
@@ -473,6 +475,7 @@
 
         def silent(reason: Reason) -> None:
             self._failed(reason)
+            self._counters.event("probe failed", "debug", server=real.name)
             self._flows.probed(server, False, None)
 
         probing.addBoth(self._passed, late).addCallbacks(told, silent).addErrback(self._failed)
