Charge cold workers by work, and send a DELETE again that its kept connection dropped

A request costs slots times its hint over the mean hint; the budget saves up 2 s of its rate at most. A DELETE on a kept connection counts as out when it is answered, or 100 ms after it was written (a silent real server), and goes out once more on a new connection when the kept one breaks under it (`deletes_again`).

--- a/tests/test_node.py
+++ b/tests/test_node.py
@@ -287,6 +287,25 @@
             c expect 200
         """)
 
+    def test_a_delete_dropped_with_its_kept_connection_goes_out_again(self) -> None:
+        # It counted as out once written: the real server ran on, and the flow's next scheduling ran beside it.
+        self.start(servers=1)
+        self.play("""
+            c send job a quote
+            s expect X-Txn: a
+            s send 202
+            c2 send job b quote
+            s expect X-Txn: b
+            s send 202
+            c2 close
+            s expect DELETE /jobs/b
+            s close
+            s expect DELETE /jobs/b
+            s send 204
+            node send USR1
+            node expect counters | deletes=1 | deletes_again=1
+        """)
+
     def test_time_running_out_is_answered_and_told_to_the_real_server(self) -> None:
         self.start()
         self.play("""
@@ -316,8 +335,10 @@
             s expect X-Txn: b
             c2 close
             s expect DELETE /jobs/b
+            s send 204
             was wait
-            node send USR1
+            node send TERM
+            node expect exit 0
             node expect counters | askers_gone=2 | outcome_cancelled=2
         """)
 
--- a/tests/test_policy.py
+++ b/tests/test_policy.py
@@ -224,6 +224,20 @@
     assert 0 < sent[1] < 0.6 * sent[2]
 
 
+def test_a_heavy_job_does_not_go_to_a_cold_worker() -> None:
+    # Jobs were counted, not their work: one of six seconds once pushed a cold worker over by itself.
+    balancer, recorder = make(workers=0, cold_from=0.2, cold_for=20 * SECOND)
+    balancer.members(100 * SECOND, "snapshot",
+                     [Entry(1, started=100 * SECOND)] + [Entry(n) for n in range(2, 11)])
+    balancer.own_rate = 100 / SECOND
+    for n in range(250):
+        now = 100 * SECOND + n * 10 * MS
+        balancer.request(now, f"j{n}", 0, SECOND, hint=(2 * SECOND if n % 10 == 5 else 20 * MS))
+        balancer.answer(now, f"j{n}", 0, "ok", 1, True, None)
+    cold = [d[1] for d in recorder.named("send") if d[2] == 1]
+    assert cold and not any(job.endswith("5") for job in cold)
+
+
 def test_restart_under_the_same_id_is_cold_again() -> None:
     balancer, _ = make(workers=2, cold_from=0.2, cold_for=20 * SECOND)
     balancer.members(50 * SECOND, "diff", [Entry(1, cell=1, started=50 * SECOND)])
--- a/violetsaddle/net/limits.py
+++ b/violetsaddle/net/limits.py
@@ -30,6 +30,7 @@
     datagram: int = 256
     remembered: int = 4096  # ids of flows that are over
     give_up: int = 2 * SECOND  # for the answer to a DELETE
+    delete_heard: int = 100 * MS  # on a kept connection one counts as told when answered, or so late
     edge_idle: int = 75 * SECOND
     edge_first: int = 2 * SECOND  # from a connection's start to its first message's last byte
     edge_read: int = 2 * SECOND  # from a later message's first byte to its last
--- a/violetsaddle/net/servers.py
+++ b/violetsaddle/net/servers.py
@@ -4,7 +4,7 @@
 
 import json
 from collections.abc import Callable, Mapping, Sequence
-from typing import Any
+from typing import Any, cast
 from zlib import crc32
 
 from twisted.internet.defer import CancelledError, Deferred, fail, succeed
@@ -448,16 +448,46 @@
                 out.callback(None)
 
         self._counters.add("deletes")
-        deleting = self._exchange(
-            server, lambda: [http.request("DELETE", f"/jobs/{scheduling.job}", server.address)], told)
+        self._delete(server, scheduling.job, told)
+        return out
+
+    def _delete(self, server: RealServer, job: str, told: Callable[[], None], again: bool = False) -> None:
+        """`told` is called once the real server has been told, or can't be."""
+        # Guards against a DELETE that is dropped unread with the kept connection it went out on: there it
+        # counts as told only when answered, and goes out once more on a new one.
+        connection = None if again else self._idle(server)
+        kept = connection is not None
+        heard: Deadline | None = None
+
+        def message() -> Sequence[bytes]:
+            return [http.request("DELETE", f"/jobs/{job}", server.address)]
+
+        def written() -> None:
+            nonlocal heard
+            if kept:
+                heard = self._deadlines.after(self._limits.delete_heard, told)
+            else:
+                told()
+
+        if connection is not None:
+            deleting = self._on(connection, message, written)
+        else:
+            deleting = cast("Deferred[http.Message]", self._connect(server).addCallback(
+                self._on, message, written))
         late = self._deadlines.after(self._limits.give_up, deleting.cancel)
 
-        def over(_: object) -> None:
+        def over(result: object) -> None:
             self._deadlines.drop(late)
+            self._deadlines.drop(heard)
+            if isinstance(result, Reason):
+                self._failed(result)
+                if kept and isinstance(result.value, Broken):
+                    self._counters.add("deletes_again")
+                    self._delete(server, job, told, again=True)
+                    return
             told()
 
-        deleting.addErrback(self._failed).addBoth(over)
-        return out
+        deleting.addBoth(over)
 
     def probe(self, server: int) -> None:
         real = self._by_number.get(server)
--- a/violetsaddle/policy.py
+++ b/violetsaddle/policy.py
@@ -1,10 +1,8 @@
 """Every decision of violetsaddle.  Interface (settings, events, actions, outcomes): interface.py.
 
-The ordinary path of a request, in `Balancer.request`: its tenant's bucket (`TokenBucket`, refilled at
-share x fleet slot rate / N schedulers) pays for its slots and it is pushed.  An over-bucket job is pushed
-too, unless 'full' was met within a window: then it is refused at once.  A push goes to the one of two
-random ready workers with fewer of this scheduler's jobs in flight.  docs/design.md lists the departures.
-"""
+A request is paid for by its tenant's `TokenBucket` (share x fleet slot rate / N schedulers) and pushed; an
+over-bucket one too, unless 'full' was met within a window: then it is refused at once.  A push goes to the
+one of two random ready workers with fewer of this scheduler's jobs in flight.  Departures: docs/design.md."""
 
 from __future__ import annotations
 
@@ -54,12 +52,12 @@
 SPEED_STEP, SPEED_EASE = 0.3, 0.05  # weight of a new run in a worker's speed; of its kind's, each tick
 ZONE_STRIKES, ZONE_DOUBT = 3, 0.04  # failures in a row until a zone counts as cut; draws it keeps
 # Further tries
-RETRY_SHARE, RETRY_MOST = 0.5, 20.0  # failure retries earned by a request, and kept at most
-COPY_SHARE, COPY_MOST = 0.15, 6.0  # second copies earned by a request, and kept at most
+RETRY_SHARE, RETRY_MOST = 0.5, 20.0  # failure retries earned by a request, and kept at most; so too copies
+COPY_SHARE, COPY_MOST, HINT_STEP = 0.15, 6.0, 0.02  # and weight of a new hint in their mean
 KEY_COPY = 5.0  # copies that one of a job with a key counts for
 RETRY_WAIT, HOLD_WAIT = SECOND // 20, SECOND // 10  # before a second retry, doubled by each; for a worker
 WINDOW_MARGIN = SECOND // 2  # a repeat must arrive before the group forgets
-COLD_SAFETY = 0.5  # of the cold budget that is used: others may carry more than their part
+COLD_SAFETY, COLD_SAVED = 0.5, 2 * SECOND  # of the cold budget: part used, and time saved up at most
 WATCH_SPREAD = 2 * SECOND  # first subscriptions of schedulers started together are spread over this
 WATCH_SOON, WATCH_WAIT = SECOND // 10, SECOND // 2  # wait after a failed call, and after each further one
 
@@ -153,11 +151,11 @@
 
 class Request:
     __slots__ = ("id", "spec", "slots", "deadline", "key", "attempts", "out", "over", "streams", "patience",
-                 "hint")
+                 "hint", "cost")
 
     def __init__(self, job: str, spec: api.RequestClass, slots: float, now: int, remaining: int,
                  key: int | None, hint: int) -> None:
-        self.id, self.spec, self.slots, self.key, self.hint = job, spec, slots, key, hint
+        self.id, self.spec, self.slots, self.key, self.hint, self.cost = job, spec, slots, key, hint, slots
         self.deadline = now + remaining
         self.attempts: list[Attempt] = []
         self.out, self.over, self.streams = 0, False, False
@@ -254,7 +252,7 @@
         self.fleet = FleetRate(told)
         self.arrived_slots, self.own_rate, self.keys_seen = 0.0, 0.0, 0
         self.largest = 1.0  # slots of the largest job seen
-        self.pressure, self.tight_until = 0.0, 0
+        self.pressure, self.tight_until, self.mean_hint = 0.0, 0, 0.0
         self.crowd = 1.0  # share of workers seen without room; without reports late starts alone decide
         self.retries, self.copies = RETRY_MOST / 2, COPY_MOST / 2
         self.ahead: list[Worker] = []
@@ -481,8 +479,7 @@
         self.crowd += step * (crowded - self.crowd)
 
     def _report(self, now: int, worker: Worker, report: api.Report) -> None:
-        free = report.get("free_slots")
-        if free is None:
+        if (free := report.get("free_slots")) is None:
             return
         worker.free, worker.free_at, worker.sent_since = free, now, 0.0
         if not (self.told.live_weights or self.peers):
@@ -491,7 +488,7 @@
         self.mean_free += 0.05 * (free - self.mean_free)
         self.fleet.most_free[worker.kind] = max(free, self.fleet.most_free.get(worker.kind, 0.0))
 
-    def _cold_allows(self, now: int, worker: Worker, slots: float) -> float:
+    def _cold_allows(self, now: int, worker: Worker, cost: float) -> float:
         """Share of its capacity that a cold worker surely has; 0 where its budget, in what this scheduler
         sends a mean warm worker, is spent."""
         told = self.told
@@ -499,9 +496,9 @@
         share = told.cold_from + (1.0 - told.cold_from) * min(1.0, max(0.0, warmth))
         worker.cold.fill(now)
         n = max(1, len(self.everyone.items))
-        worker.cold.burst = max(self.largest, slots)
         worker.cold.rate = COLD_SAFETY * told.fall_multiple * share * self.own_rate / n
-        return share if worker.cold.tokens >= slots else 0.0
+        worker.cold.burst = max(self.largest, worker.cold.rate * COLD_SAVED)
+        return share if worker.cold.tokens >= cost else 0.0
 
     def _draw(self, now: int, pool: Pool, slots: float, request: Request | None) -> Worker | None:
         """A random ready worker, by weight; rejection keeps it O(1)."""
@@ -515,7 +512,7 @@
                 weight *= (worker.speed / self.speeds[worker.kind]) ** 2
             weight *= 1.0 if worker.zone == home else away
             if worker.cold_until > now:
-                weight *= self._cold_allows(now, worker, slots)
+                weight *= self._cold_allows(now, worker, slots if request is None else request.cost)
             if not weight or (request is not None and request.attempts and request.tried(worker)):
                 continue
             load = self._load(now, worker, slots)
@@ -589,7 +586,7 @@
             worker = self.workers[ring[place][1]]
             chance = worker.trust
             if worker.cold_until > now:
-                chance *= self._cold_allows(now, worker, request.slots)
+                chance *= self._cold_allows(now, worker, request.cost)
             if worker.pools and self.random() < chance and not self._crowded(now, worker, request.slots):
                 best = worker if best is None else self._better(now, best, worker)
         return best
@@ -629,6 +626,9 @@
         if job in self.requests:
             raise api.EventError(f"request {job} is known already")
         request = Request(job, self.told.classes[cls], slots, now, remaining, key, hint)
+        if hint:  # what a cold worker is pushed over by is work, not jobs
+            self.mean_hint += HINT_STEP * (hint - self.mean_hint) if self.mean_hint else hint
+            request.cost = slots * hint / self.mean_hint
         bucket = self.buckets[tenant]
         self.arrived_slots += slots
         self.retries = min(RETRY_MOST, self.retries + RETRY_SHARE)
@@ -655,7 +655,7 @@
             if not request.out:
                 self._hold(now, request, HOLD_WAIT)
             return False
-        worker.cold.tokens -= request.slots
+        worker.cold.tokens -= request.cost
         attempt = Attempt(len(request.attempts), worker, now)
         request.attempts.append(attempt)
         request.out += 1
