--- a/tests/test_node.py
+++ b/tests/test_node.py
@@ -86,7 +86,8 @@
         self.start()
         self.play("""
             c send RAW POST /api HT
-            c send RAW TP/1.1 | Host: n | X-Txn: a | X-Lane: quote | X-Org: acme | X-Remaining: 9000m | Transfer-Enc
+            c send RAW TP/1.1 | Host: n | X-Txn: a | X-Lane: quote | X-Org: acme
+            c send RAW \\r\\nX-Remaining: 9000m | Transfer-Enc
             c send RAW oding: chunked | | 3\\r\\nab
             c send RAW c\\r\\n2;x=y\\r\\nde\\r\\n0\\r\\nTrailer: t\\r\\n\\r\\nGET /up HTTP/1.1\\r\\n\\r\\n
             s expect X-Txn: a | Content-Length: 5 | abcde | !chunked | !Trailer
@@ -288,7 +289,7 @@
         """)
 
     def test_a_delete_dropped_with_its_kept_connection_goes_out_again(self) -> None:
-        # It counted as out once written: the real server ran on, and the flow's next scheduling ran beside it.
+        # It counted as out once written: the real server ran on, and the next scheduling ran beside it.
         self.start(servers=1)
         self.play("""
             c send job a quote
@@ -497,8 +498,9 @@
         # Without a real server each is turned down at once, while the next ones wait in the buffer.
         self.start(servers=0)
         fields = "X-Lane: quote | X-Org: acme | X-Remaining: 9m | Content-Length: 0".replace(" | ", "\\r\\n")
+        first = "POST /api HTTP/1.1\\r\\nHost: n"
         self.play("c send RAW " + "".join(
-            f"POST /api HTTP/1.1\\r\\nHost: n\\r\\nX-Txn: a{n}\\r\\n{fields}\\r\\n\\r\\n" for n in range(500)))
+            f"{first}\\r\\nX-Txn: a{n}\\r\\n{fields}\\r\\n\\r\\n" for n in range(500)))
         self.play("\n".join(["c expect 429 | Retry-After"] * 500))
 
 
