--- a/tests/test_leaks.py
+++ b/tests/test_leaks.py
@@ -24,11 +24,10 @@
     "on a connection of its own": """
         c send job {j} settle
         s expect X-Txn: {j}
-        s send 202
+        s send 202 | Connection: close
         k send POST /callback | | {{"id":"{j}","from":"s-1","state":"done","result":"x"}}
         c expect 200
         k expect 204
-        s close
     """,
     # Others between them: many turned away in a row would close the door at once.
     "turned away": "".join(SERVED.replace("{j}", "{j}-" + n) for n in "abcdef") + """
@@ -40,11 +39,10 @@
     "failed by callback": """
         c send job {j} settle
         s expect X-Txn: {j}
-        s send 202
+        s send 202 | Connection: close
         k send POST /callback | | {{"id":"{j}","from":"s-1","state":"lost"}}
         c expect 502
         k expect 204
-        s close
     """,
     "reset": """
         c send job {j} quote
--- a/tests/test_node.py
+++ b/tests/test_node.py
@@ -4,6 +4,8 @@
 
 import json
 import os
+import subprocess
+import sys
 import time
 import unittest
 from zlib import crc32
@@ -89,7 +91,8 @@
             c send RAW TP/1.1 | Host: n | X-Txn: a | X-Lane: quote | X-Org: acme
             c send RAW \\r\\nX-Remaining: 9000m | Transfer-Enc
             c send RAW oding: chunked | | 3\\r\\nab
-            c send RAW c\\r\\n2;x=y\\r\\nde\\r\\n0\\r\\nTrailer: t\\r\\n\\r\\nGET /up HTTP/1.1\\r\\n\\r\\n
+            c send RAW c\\r\\n2;x=y\\r\\nde\\r\\n0\\r\\nTrailer: t\\r\\n\\r\\nGET /up HTTP/1.1
+            c send RAW \\r\\nHost: n\\r\\n\\r\\n
             s expect X-Txn: a | Content-Length: 5 | abcde | !chunked | !Trailer
             s send 202
             s call a done result=whole
@@ -100,7 +103,7 @@
     def test_a_client_that_waits_for_leave_to_send_its_body_gets_it(self) -> None:
         self.start()
         self.play("""
-            c send RAW POST /callback HTTP/1.1 | Expect: 100-continue | Content-Length: 2 | |
+            c send RAW POST /callback HTTP/1.1 | Host: n | Expect: 100-continue | Content-Length: 2 | |
             c expect 100
             c send RAW {}
             c expect 400
@@ -353,13 +356,14 @@
             ("RAW GET /up HTTP/1.1 |  x: y | | ", 400),
             ("RAW POST /api HTTP/1.1 | X-Txn: a | X-Lane: quote | X-Org: acme | X-Remaining: 9m | | ", 400),
             ("POST /api | Host: other | X-Txn: a | X-Lane: quote | X-Org: acme | X-Remaining: 9m | | ", 400),
-            ("RAW GET /up HTTP/1.1 | Host: a | Host: b | | ", 400),
-            ("RAW POST /api HTTP/1.1 | Content-Length: 1 | Transfer-Encoding: chunked | | ", 400),
-            ("RAW POST /api HTTP/1.1 | Content-Length: -1 | | ", 400),
-            ("RAW POST /api HTTP/1.1 | Content-Length: 1 | Content-Length: 2 | | ", 400),
-            ("RAW POST /api HTTP/1.1 | Transfer-Encoding: chunked | | zz\\r\\n", 400),
-            ("RAW POST /api HTTP/1.1 | Content-Length: 65537 | | LONG(65537)", 413),
-            ("RAW POST /api HTTP/1.1 | Transfer-Encoding: chunked | | 10001\\r\\nLONG(65537)", 413),
+            ("RAW GET /up HTTP/1.1 | Host: a | Host: b | | ", 400), ("RAW GET /up HTTP/1.1 | | ", 400),
+            ("RAW POST /callback HTTP/1.1 | Content-Length: 2 | | {}", 400),
+            ("RAW POST /api HTTP/1.1 | Host: n | Content-Length: 1 | Transfer-Encoding: chunked | | ", 400),
+            ("RAW POST /api HTTP/1.1 | Host: n | Content-Length: -1 | | ", 400),
+            ("RAW POST /api HTTP/1.1 | Host: n | Content-Length: 1 | Content-Length: 2 | | ", 400),
+            ("RAW POST /api HTTP/1.1 | Host: n | Transfer-Encoding: chunked | | zz\\r\\n", 400),
+            ("RAW POST /api HTTP/1.1 | Host: n | Content-Length: 65537 | | LONG(65537)", 413),
+            ("RAW POST /api HTTP/1.1 | Host: n | Transfer-Encoding: chunked | | 10001\\r\\nLONG(65537)", 413),
             ("RAW GET /up HTTP/1.1 | X: LONG(20000)", 431),
             ("GET /nowhere", 404), ("GET /api", 405), ("POST /up", 405), ("GET /callback", 405),
             ("POST /callback | | {", 400), ("POST /callback | | {\"id\":\"a\"}", 400),
@@ -405,7 +409,7 @@
         begun = time.monotonic()
         self.play("""
             half send RAW POST /api HTTP/1.1 | X-T
-            body send RAW POST /api HTTP/1.1 | Content-Length: 9 | | x
+            body send RAW POST /api HTTP/1.1 | Host: n | Content-Length: 9 | | x
         """)
         self.line("mute")
         self.play("""
@@ -507,7 +511,8 @@
     def test_too_much_sent_ahead_waits_and_loses_no_flow(self) -> None:
         # The connection was once aborted, with the answer to its first request still owed.
         self.start()
-        self.play("c send job a settle\nc send RAW " + "GET /up HTTP/1.1\\r\\nX: LONG(99)\\r\\n\\r\\n" * 1500)
+        ahead = "GET /up HTTP/1.1\\r\\nHost: n\\r\\nX: LONG(99)\\r\\n\\r\\n"
+        self.play("c send job a settle\nc send RAW " + ahead * 1500)
         self.play("""
             s expect X-Txn: a
             s send 202
@@ -655,6 +660,20 @@
             node expect exit 0
         """)
 
+    def test_signals_during_the_imports_do_not_end_the_program(self) -> None:
+        # A node that was told of a new configuration in its first 0.3 s died of it.
+        early = ("import os, runpy, signal, sys\n"
+                 "class Hook:\n"
+                 "    def find_spec(self, name, *_):\n"
+                 "        if name == 'twisted':\n"
+                 "            os.kill(os.getpid(), signal.SIGHUP)\n"
+                 "            os.kill(os.getpid(), signal.SIGUSR1)\n"
+                 "sys.meta_path.insert(0, Hook())\n"
+                 "runpy.run_module('violetsaddle', run_name='__main__')")
+        ended = subprocess.run([sys.executable, "-c", early], capture_output=True, text=True, timeout=60,
+                               env={k: v for k, v in os.environ.items() if not k.startswith("RELAY_")})
+        self.assertEqual((ended.returncode, ended.stderr), (2, "violetsaddle: RELAY_CONFIG: is not set\n"))
+
     def test_bad_configuration_names_the_key(self) -> None:
         for change, key in (({"listen": "nowhere"}, "listen"), ({"settings": {"siblings": "x"}}, "siblings"),
                             ({"settings": 5}, "settings"), ({"seed": "xyz"}, "seed"),
--- a/violetsaddle/__main__.py
+++ b/violetsaddle/__main__.py
@@ -2,10 +2,16 @@
 
 from __future__ import annotations
 
+import signal
+
+if __name__ == "__main__":
+    # Before all else: the imports below take a while, in which either would end the program.
+    signal.signal(signal.SIGHUP, signal.SIG_IGN)
+    signal.signal(signal.SIGUSR1, signal.SIG_IGN)
+
 import json
 import os
 import resource
-import signal
 import sys
 from collections.abc import Callable
 from typing import TYPE_CHECKING, Any
--- a/violetsaddle/cli/demo.py
+++ b/violetsaddle/cli/demo.py
@@ -136,14 +136,16 @@
 def command(seconds: float, on: str | None, seed: int, nodes: int, boxes: int, report: str) -> None:
     """Show a node at work on an emulated fleet, with a crash and a burst, then write a report.
 
-    Ends with status 1 if the node broke a rule, 3 if the day could not be played."""
+    Ends with status 1 if the node broke a rule, 2 if the report can't be written, 3 if the day could not be
+    played."""
     console = Console()
     stage = on or ("live" if _live_is_there() else "sim")
     case = Case(SCENARIO, seed, stage, nodes=nodes, boxes=boxes, seconds=seconds)
     try:
         outcome, interrupted = _play(case, console)
     except CaseError as error:
-        raise click.ClickException(str(error)) from None
+        click.echo(f"violetsaddle demo: {error}", err=True)
+        sys.exit(2)
     if not any(isinstance(record, Answer) for record in outcome.records):
         click.echo(f"The day could not be played: {outcome.void or 'nothing was answered'}", err=True)
         if stage == "live":
@@ -159,7 +161,11 @@
 
     html = pages.page(outcome, result, lines, experiment.stories(outcome, result), experiment.repeat(case))
     _sum_up(result)
-    click.echo(f"Report: {pages.write(report, html).resolve()}")
+    try:
+        click.echo(f"Report: {pages.write(report, html).resolve()}")
+    except OSError as error:
+        click.echo(f"violetsaddle demo: {report}: {error.strerror}", err=True)
+        sys.exit(2)
     sys.exit(1 if result.violations else 0)
 
 
--- a/violetsaddle/cli/lab.py
+++ b/violetsaddle/cli/lab.py
@@ -15,6 +15,7 @@
 
 import click
 import msgspec
+from click.core import ParameterSource
 from rich.console import Console
 from rich.progress import BarColumn, MofNCompleteColumn, Progress, TextColumn, TimeElapsedColumn
 
@@ -62,36 +63,76 @@
         raise Unusable(str(error)) from None
 
 
-def _playing(command: Command) -> Command:
-    """The options of every command that plays days."""
-    every: list[Any] = [
-        click.option("--on", default="sim", show_default=True, metavar="STAGE",
-                     help="sim: virtual time in one process; live: node processes on loopback; or another "
-                     "stage as module:Class."),
-        click.option("--seconds", type=click.FloatRange(0.1), help="Length of a day."),
-        click.option("--nodes", type=click.IntRange(1)),
-        click.option("--boxes", type=click.IntRange(1)),
-        click.option("--load", type=click.FloatRange(0.01),
-                     help="Work asked for as a share of what boxes can do."),
-        click.option("--rate", type=click.FloatRange(0.1), help="Jobs a second; goes before --load."),
-        click.option("--decider", default="module", show_default=True, metavar="NAME",
-                     help=f"Who chooses boxes: module, {', '.join(YARDSTICKS)}."),
-        click.option("--operator", type=click.Path(exists=True, dir_okay=False),
-                     help="The nodes' operator file."),
-        click.option("--tree", type=click.Path(exists=True, file_okay=False), help="A checkout whose node is "
-                     "played by the lab of this one."),
-        click.option("--set", "sets", multiple=True, metavar="KEY=VALUE",
-                     help="Any key: settings.*, scenario.*, day.*, or those above. May be repeated."),
-    ]
+_SIZES: list[Any] = [
+    click.option("--seconds", type=click.FloatRange(0.1), help="Length of a day."),
+    click.option("--nodes", type=click.IntRange(1), help="How many nodes."),
+    click.option("--boxes", type=click.IntRange(1), help="How many boxes; traffic follows what they can do."),
+    click.option("--load", type=click.FloatRange(0.01),
+                 help="Work asked for as a share of what boxes can do."),
+    click.option("--rate", type=click.FloatRange(0.1), help="Jobs a second; goes before --load."),
+]
+_SETS: list[Any] = [
+    click.option("--set", "sets", multiple=True, metavar="KEY=VALUE",
+                 help="Any key: settings.*, scenario.*, day.*, nodes, boxes, load, rate, seconds, decider, "
+                 "operator. May be repeated."),
+]
+_PLAY: list[Any] = [
+    click.option("--on", default="sim", show_default=True, metavar="STAGE",
+                 help="sim: virtual time in one process; live: node processes on loopback; or another "
+                 "stage as module:Class."),
+    click.option("--decider", default="module", show_default=True, metavar="NAME",
+                 help=f"Who chooses boxes: module, {', '.join(YARDSTICKS)} (not on live)."),
+    click.option("--operator", type=click.Path(exists=True, dir_okay=False),
+                 help="The nodes' operator file (on sim its limits count, its log does not)."),
+    click.option("--tree", type=click.Path(exists=True, file_okay=False),
+                 help="A checkout whose node is played by the lab of this one."),
+]
+
+
+def _with(command: Command, every: Sequence[Any]) -> Command:
     decorated: Any = command
     for option in reversed(every):
         decorated = option(decorated)
     return cast(Command, decorated)
 
 
-def _case(scenario: str, on: str, seconds: float | None, nodes: int | None, boxes: int | None,
-          load: float | None, rate: float | None, decider: str, operator: str | None, tree: str | None,
-          sets: Sequence[str], day: Day | None = None) -> Case:
+def _drawing(command: Command) -> Command:
+    """The options of every command that draws days."""
+    return _with(command, [*_SIZES, *_SETS])
+
+
+def _playing(command: Command) -> Command:
+    """The options of every command that plays days."""
+    return _with(command, [*_SIZES, *_PLAY, *_SETS])
+
+
+def _check(case: Case) -> None:
+    """Raises `CaseError` for what would only show once a day is played."""
+    if case.decider != "module" and case.decider not in YARDSTICKS:
+        raise CaseError(f"decider: expected module or one of {', '.join(YARDSTICKS)}, not {case.decider}")
+    if case.decider != "module" and case.stage == "live":
+        raise CaseError(f"decider: expected module, as {case.decider} plays on sim only")
+    if case.operator and not case.tree:  # another checkout may know other keys
+        from violetsaddle import operator
+
+        try:
+            operator.load(case.operator)
+        except operator.OperatorError as error:
+            raise CaseError(str(error)) from None
+    experiment.drawn(case)
+
+
+def _can_write(*paths: str | None) -> None:
+    """A day is not played in vain for a file that can't be made."""
+    for path in paths:
+        if path and path != "-" and not Path(path).parent.is_dir():
+            raise Unusable(f"{path}: there is no such folder")
+
+
+def _case(scenario: str, on: str = "sim", seconds: float | None = None, nodes: int | None = None,
+          boxes: int | None = None, load: float | None = None, rate: float | None = None,
+          decider: str = "module", operator: str | None = None, tree: str | None = None,
+          sets: Sequence[str] = (), day: Day | None = None) -> Case:
     case = Case(scenario, stage=on, nodes=nodes or 0, boxes=boxes or 0, rate=rate or 0.0,
                 seconds=seconds or 0.0, decider=decider, day=day,
                 operator=str(Path(operator).resolve()) if operator else "")
@@ -101,10 +142,8 @@
         if tree:
             case = comparing.side(case, tree)
         case = comparing.changed(case, sets)
-        if case.decider != "module" and case.decider not in YARDSTICKS:
-            raise CaseError(f"decider: expected module or one of {', '.join(YARDSTICKS)}, not {case.decider}")
         experiment.check_stage(on)
-        experiment.drawn(case)
+        _check(case)
     return case
 
 
@@ -150,6 +189,16 @@
         raise Unusable(f"{path}: expected a day as JSON: {error}") from None
 
 
+def _whole_day(sets: Sequence[str]) -> None:
+    """A day from a file is played as it is: tells which options mean nothing then."""
+    ctx = click.get_current_context()
+    given = [f"--{name}" for name in ("seed", "seconds", "nodes", "boxes", "load", "rate")
+             if ctx.get_parameter_source(name) is ParameterSource.COMMANDLINE]
+    given += [text for text in sets if not text.startswith(("settings.", "day.", "decider", "operator"))]
+    if given:
+        _tell(f"run: beside --day these mean nothing: {', '.join(given)}; --set day.KEY=VALUE changes a day")
+
+
 def _watched(case: Case) -> Outcome:
     """Plays here, with progress; on an interrupt what there is of the day."""
     day = experiment.drawn(case)
@@ -182,26 +231,31 @@
 
 @command.command()
 @click.argument("scenario", required=False)
-@click.option("--seed", type=click.IntRange(0), default=1, show_default=True)
+@click.option("--seed", type=click.IntRange(0), default=1, show_default=True, help="Which day is drawn.")
 @_playing
 @click.option("--day", "day_file", type=click.Path(exists=True, dir_okay=False),
-              help="A day as JSON, as `hunt` writes it, in place of a scenario.")
+              help="A day as JSON, as `hunt` and `show` write it, in place of a scenario.")
 @click.option("--yardsticks", is_flag=True, help="Play the yardsticks on the same day, always on sim.")
 @click.option("--json", "json_file", metavar="FILE", help="Write the result as JSON; - for standard output.")
 @click.option("--report", metavar="DIR", help="Write a page with plots.")
 @click.option("--keep", metavar="FILE", help="Write all records, for `judge`.")
 def run(scenario: str | None, seed: int, day_file: str | None, yardsticks: bool, json_file: str | None,
         report: str | None, keep: str | None, **playing: Any) -> None:
-    """Play one day of SCENARIO (a name or a TOML file) and judge it."""
+    """Play one day of SCENARIO (a name or a TOML file) and judge it.
+
+    On sim, --tree goes without --keep and --report."""
     if (scenario is None) == (day_file is None):
         raise Unusable("run: expected a scenario or --day FILE")
+    if day_file:
+        _whole_day(playing["sets"])
+    _can_write(json_file, keep)
     case = _case(scenario or "", **playing, day=_file_day(day_file) if day_file else None)
     case = msgspec.structs.replace(case, seed=seed, yardsticks=YARDSTICKS if yardsticks else ())
     if case.tree and case.stage == "sim":
         if keep or report:
             raise Unusable("run: --keep and --report can't go with --tree on sim: its node runs in another "
                            "process")
-        played = next(iter(run_many([case])))
+        played = _named(next(iter(run_many([case]))), day_file)
         _show(played, json_file)
         _leave([played.result])
     try:
@@ -217,12 +271,20 @@
     played = experiment.measured(case, outcome, lines, judge=not interrupted)
     if keep:
         _put(keep, experiment.pack(outcome))
-    _show(played, json_file)
+    _show(_named(played, day_file), json_file)
     if report:
         _page(report, outcome, played.result, lines, experiment.repeat(case, day_file or ""))
     _leave([played.result], interrupted)
 
 
+def _named(played: Played, day_file: str | None) -> Played:
+    """With the day's file in the command that repeats it."""
+    if not day_file:
+        return played
+    told = played.report.replace(experiment.DAY_FILE, shlex.quote(day_file))
+    return msgspec.structs.replace(played, report=told)
+
+
 def _page(directory: str, outcome: Outcome, result: Result, lines: dict[str, Any], again: str) -> None:
     from violetsaddle.lab import report  # brings matplotlib
 
@@ -269,8 +331,10 @@
         click.echo("\n".join(experiment.story(outcome, request)))
         return
     lines: dict[str, Any] = {}
-    played = experiment.measured(Case(day=outcome.day), outcome, lines)
-    _show(played, json_file)
+    case = Case(day=outcome.day, stage="sim" if outcome.events else "live")  # only sim counts them
+    played = experiment.measured(case, outcome, lines)
+    told = played.report.replace(experiment.repeat(case), f"violetsaddle lab judge {shlex.quote(file)}")
+    _show(msgspec.structs.replace(played, report=told), json_file)
     if report:
         _page(report, outcome, played.result, lines, "")
     _leave([played.result])
@@ -289,14 +353,14 @@
 
 @command.command()
 @click.argument("scenario")
-@click.option("--seed", type=click.IntRange(0), default=1, show_default=True)
+@click.option("--seed", type=click.IntRange(0), default=1, show_default=True, help="Which day is drawn.")
 @click.option("--json", "json_file", metavar="FILE", help="Write the day as JSON; - for standard output.")
-@_playing
-def show(scenario: str, seed: int, json_file: str | None, **playing: Any) -> None:
+@_drawing
+def show(scenario: str, seed: int, json_file: str | None, **drawing: Any) -> None:
     """Tell what a drawn day holds, in words."""
     from violetsaddle.world import troubles
 
-    case = msgspec.structs.replace(_case(scenario, **playing), seed=seed)
+    case = msgspec.structs.replace(_case(scenario, **drawing), seed=seed)
     with _usable():
         day = experiment.drawn(case)
     _put(json_file, write_day(day))
@@ -343,11 +407,12 @@
 
 _seeds = click.option("--seeds", type=click.IntRange(1), default=10, show_default=True,
                       help="How many days.")
-_first = click.option("--first-seed", type=click.IntRange(0), default=1, show_default=True)
+_first = click.option("--first-seed", type=click.IntRange(0), default=1, show_default=True,
+                      help="The first day's seed; the others follow one by one.")
 _processes = click.option("--processes", type=click.IntRange(1), default=max(1, cores() - 1),
-                          show_default=True)
+                          show_default=True, help="Days played at the same time; on live always one.")
 _figures = click.option("--figure", "patterns", multiple=True, metavar="PATTERN",
-                        help="Figures to show, such as 'classes.*.p99'. May be repeated.")
+                        help="Figures to show, such as 'latency.*.p99_ms' or '*'. May be repeated.")
 
 
 @command.command()
@@ -369,12 +434,14 @@
     """Play A and B on the same days and tell the difference.
 
     Each side is `this`, a checkout (a directory: its node is played by the lab of this one), an operator file
-    (.toml) or key=value[,key=value] as for --set. The interval is a bootstrap over days."""
+    (.toml) or key=value[,key=value] as for --set (a value with a comma in it needs --set-a or --set-b). The
+    interval is a bootstrap over days."""
     case = msgspec.structs.replace(_case(scenario, **playing), yardsticks=YARDSTICKS if yardsticks else ())
     with _usable():
         sides = [comparing.side(case, a, sets_a), comparing.side(case, b, sets_b)]
         for one in sides:
-            experiment.drawn(one)
+            _check(one)
+    _can_write(json_file)
     if case.stage == "live":
         processes = 1  # days of real time would take each other's cores
     pairs, interrupted = _gather(comparing.pairs(sides[0], sides[1], range(first_seed, first_seed + seeds),
@@ -397,7 +464,8 @@
 @_first
 @_processes
 @click.option("--yardsticks", is_flag=True, help="Also play the yardsticks.")
-@click.option("--json", "json_file", metavar="FILE", help="Write results, a line each; - for stdout.")
+@click.option("--json", "json_file", metavar="FILE", help="Write results, a line each; - for standard "
+              "output.")
 @_figures
 @_playing
 def sweep(scenario: str, axes: tuple[str, ...], seeds: int, first_seed: int, processes: int, yardsticks: bool,
@@ -407,7 +475,8 @@
     with _usable():
         places = sweeping.points(case, axes)
         for place in places:
-            experiment.drawn(place.case)
+            _check(place.case)
+    _can_write(json_file)
     if case.stage == "live":
         processes = 1
     found, interrupted = _gather(sweeping.sweep(places, range(first_seed, first_seed + seeds), processes),
@@ -425,11 +494,11 @@
 
 @command.command("hunt")
 @click.argument("scenario")
-@click.option("--days", type=click.IntRange(1), default=200, show_default=True)
+@click.option("--days", type=click.IntRange(1), default=200, show_default=True, help="At most so many.")
 @_first
 @_processes
 @click.option("--worst", is_flag=True, help="Keep the day that loses most against the oracle instead.")
-@click.option("--rule", default="", help="Look for this rule only.")
+@click.option("--rule", default="", metavar="RULE", help="Look for this rule only.")
 @click.option("--shrink/--no-shrink", default=True, show_default=True, help="Make the found day smaller.")
 @click.option("--most", type=click.IntRange(1), default=200, show_default=True,
               help="Days played for shrinking.")
@@ -443,6 +512,13 @@
 
     Days last 10 s unless --seconds says otherwise. Prints the broken rule with its request's story, and the
     command that repeats the day."""
+    from violetsaddle.lab.judge import Rule
+
+    if rule and worst:
+        raise Unusable("hunt: --rule can't go with --worst")
+    if rule and rule not in [str(one) for one in Rule]:
+        raise Unusable(f"hunt: --rule: expected one of {', '.join(Rule)}, not {rule}")
+    _can_write(out, json_file)
     playing["seconds"] = playing["seconds"] or 10.0
     case = _case(scenario, **playing)
     if worst:
@@ -467,7 +543,7 @@
     _put(out, write_day(small.day))
     _put(json_file, encode([played.result]))
     if json_file != "-":
-        told = played.report.replace(experiment.DAY_FILE, shlex.quote(out)) or tables.result(played)[0]
+        told = _named(played, out).report or tables.result(played)[0]
         console.print(told, markup=False, highlight=False, soft_wrap=True)
     if small.taken:
         _tell(f"{len(small.taken)} steps smaller: {', '.join(small.taken)}")
--- a/violetsaddle/lab/board.py
+++ b/violetsaddle/lab/board.py
@@ -8,7 +8,7 @@
 from typing import Any
 
 from violetsaddle.lab import ids, series
-from violetsaddle.lab.records import Answer, BoxLife, BoxLoad, NodeLife, Record, Sent
+from violetsaddle.lab.records import Answer, BoxLife, BoxLoad, Record, Sent
 from violetsaddle.lab.score import limit
 from violetsaddle.world import troubles
 from violetsaddle.world.clients import items
@@ -37,7 +37,6 @@
         self.day, self.now = day, 0
         self.boxes = [BoxNow(box.name, day.halls[box.hall], box.slots, "away" if box.joins else
                              "cold" if box.started < 0 else "up") for box in day.boxes]
-        self.nodes = ["starting"] * len(day.nodes)
         self.sums: Counter[str] = Counter()
         self._items: Sequence[Item] = items(day)
         self._recent: deque[tuple[int, str, int]] = deque()  # time, kind, latency or 0
@@ -52,8 +51,6 @@
             box.state = STATES.get(record.what, record.what)
             if box.state in ("down", "gone"):
                 box.running = box.waiting = 0
-        elif isinstance(record, NodeLife):
-            self.nodes[record.node] = record.what
         elif isinstance(record, Sent):
             self._count(record.at, "asked")
         elif kind := series.ended(record):
--- a/violetsaddle/lab/live/drive.py
+++ b/violetsaddle/lab/live/drive.py
@@ -137,7 +137,7 @@
 @click.option("--seconds", default=5.0, show_default=True, type=click.FloatRange(1, 60),
               help="For each rate, after a first one that is not counted.")
 @click.option("--node", is_flag=True, help="Drive a real node with idle job boxes, not a stand-in.")
-@click.option("--cpus", default="", help="Cores, such as 3,4,5; with enough of them each process keeps to one.")
+@click.option("--cpus", default="", help="Cores, such as 3,4,5; with enough each process keeps to one.")
 def main(rates: tuple[float, ...], seconds: float, node: bool, cpus: str) -> None:
     """The load that the tool itself can drive on one core, and how late it is.
 
--- a/violetsaddle/lab/live/stage.py
+++ b/violetsaddle/lab/live/stage.py
@@ -27,7 +27,7 @@
 from violetsaddle.world import troubles
 from violetsaddle.world.day import KEYED, MS, SECOND, Day, Trouble
 
-Watch = Callable[[Sequence[Record]], None]
+Watch = Callable[[Record], None]
 Stalls = Mapping[str, Sequence[tuple[int, int]]]  # of each ticker, (at, by)
 
 PATIENCE = (1, 3, 9)  # times the usual wait until nodes are ready
@@ -284,7 +284,8 @@
             part += new
             fresh += new
         if self._watch is not None and fresh:
-            self._watch(sorted(fresh, key=lambda record: record.at))
+            for record in sorted(fresh, key=lambda record: record.at):
+                self._watch(record)
 
     # The end.
 
--- a/violetsaddle/net/edge.py
+++ b/violetsaddle/net/edge.py
@@ -274,25 +274,16 @@
         elif message.start[0] != wanted:
             self._answer(405, headers=f"Allow: {wanted}\r\n")
         elif path == "/up":
-            self._lenient(message)
             self._answer(200, b"ready")
         elif path == "/callback":
             self.calls_back = True
-            self._lenient(message)
             self._call(message)
         else:
             self._ask(message, query)
 
-    def _lenient(self, message: http.Message) -> None:
-        """Calls of the platform's own parties are taken without a Host too, and counted."""
-        if message.header("host") is None:
-            self._shared.counters.add("hostless")
-
     def _ask(self, message: http.Message, query: str) -> None:
         limits = self._shared.limits
         try:
-            if message.header("host") is None and message.start[2] == "HTTP/1.1":
-                raise Unfit("Host is missing")  # RFC 9112, 3.2
             job, cls = message.header("x-txn") or "", message.header("x-lane")
             if not ID.fullmatch(job) or len(job) > limits.identity:
                 raise Unfit("X-Txn is missing or no id")
--- a/violetsaddle/net/http.py
+++ b/violetsaddle/net/http.py
@@ -194,8 +194,8 @@
                 encodings.append(bytes(buffer[c:d]).lower())
             elif name == b"host":
                 hosts += 1
-        if hosts > 1 and not self._answers:
-            raise Malformed(400, "more than one Host")  # RFC 9112, 3.2: two readers may take two for meant
+        if not self._answers and hosts != 1 and (hosts or (self._start or ("",) * 3)[2] == "HTTP/1.1"):
+            raise Malformed(400, "Host is missing or given twice")  # RFC 9112, 3.2
         # Two ways to tell the end are two ways to read the connection: neither is taken.
         if encodings and (lengths or encodings != [b"chunked"]):
             raise Malformed(400, "unclear transfer encoding")
