--- a/violetsaddle/lab/experiment.py
+++ b/violetsaddle/lab/experiment.py
@@ -19,7 +19,7 @@
 
 from violetsaddle.lab.records import Record
 from violetsaddle.lab.result import Broken, Cost, Played, Result, number_of, plain
-from violetsaddle.lab.stage import Options, Outcome, Stage
+from violetsaddle.lab.stage import Options, Outcome, Stage, merged
 from violetsaddle.world.day import SECOND, Day
 
 STAGES = {"sim": "violetsaddle.lab.sim.stage:SimStage", "live": "violetsaddle.lab.live.stage:LiveStage"}
@@ -98,15 +98,6 @@
                     "operator, settings.*, scenario.* or day.*")
 
 
-def merged(below: dict[str, Any], above: dict[str, Any]) -> dict[str, Any]:
-    """`above` over `below`, tables key by key."""
-    whole = dict(below)
-    for key, value in above.items():
-        old = whole.get(key)
-        whole[key] = merged(old, value) if isinstance(old, dict) and isinstance(value, dict) else value
-    return whole
-
-
 def _nested(path: str, value: Any) -> dict[str, Any]:
     for key in reversed(path.split(".")):
         value = {key: value}
--- a/violetsaddle/lab/live/nodes.py
+++ b/violetsaddle/lab/live/nodes.py
@@ -18,7 +18,7 @@
 from violetsaddle.lab.live.places import LivePlaces
 from violetsaddle.lab.records import Fault, Ledger, LeftOver, NodeLife
 from violetsaddle.lab.scene import Address
-from violetsaddle.lab.stage import Options
+from violetsaddle.lab.stage import Options, merged
 from violetsaddle.world.day import MS, SECOND, Day, Trouble, chance, settings
 
 MOST_LINES = 4000  # of all logs
@@ -72,15 +72,6 @@
         await asyncio.sleep(max(0, at - self.now()) / SECOND)
 
 
-def merged(base: dict[str, Any], over: Any) -> dict[str, Any]:
-    """`over` laid over `base`, tables key by key."""
-    result = dict(base)
-    for key, value in over.items():
-        old = result.get(key)
-        result[key] = merged(old, value) if isinstance(old, dict) and isinstance(value, dict) else value
-    return result
-
-
 def text(address: Address) -> str:
     return f"{address[0]}:{address[1]}"
 
--- a/violetsaddle/lab/stage.py
+++ b/violetsaddle/lab/stage.py
@@ -10,6 +10,15 @@
 from violetsaddle.world.day import Day
 
 
+def merged(below: Mapping[str, Any], above: Mapping[str, Any]) -> dict[str, Any]:
+    """`above` laid over `below`, tables key by key."""
+    whole = dict(below)
+    for key, value in above.items():
+        old = whole.get(key)
+        whole[key] = merged(old, value) if isinstance(old, Mapping) and isinstance(value, Mapping) else value
+    return whole
+
+
 @dataclass(frozen=True)
 class Options:
     """How a day is played."""
--- a/violetsaddle/net/counters.py
+++ b/violetsaddle/net/counters.py
@@ -26,6 +26,7 @@
         """`log`: takes the lines and events instead of standard error."""
         self.name, self._log = name, log
         self._counts: Counter[str] = Counter()
+        self.held: Callable[[], dict[str, int]] = dict  # what is held at this moment, shown with the counts
 
     def add(self, what: str) -> None:
         self._counts[what] += 1
@@ -56,4 +57,5 @@
             pass  # a log that has gone away is no reason to stop serving
 
     def show(self) -> None:
-        self.say("counters " + " ".join(f"{k}={v}" for k, v in sorted(self._counts.items())))
+        shown = {**self._counts, **{f"held_{what}": count for what, count in self.held().items()}}
+        self.say("counters " + " ".join(f"{k}={v}" for k, v in sorted(shown.items())))
--- a/violetsaddle/net/node.py
+++ b/violetsaddle/net/node.py
@@ -73,6 +73,7 @@
         self.flows.carrier, self.flows.watcher = self.servers, self.discovery
         self.edge = EdgeFactory(Shared(self.flows, self.limits, self.deadlines, self.counters,
                                        self.servers.report))
+        self.counters.held = self.held
         self._port: Any = None  # None: not listening
         self._stopping = self._ended = False
 
@@ -91,6 +92,11 @@
         at = self._port.getHost()
         self.counters.say(f"listening on {at.host}:{at.port}")
 
+    def held(self) -> dict[str, int]:
+        """What the node holds now; after its end each must be 0."""
+        return {"flows": len(self.flows), "edge": len(self.edge.shared.connections),
+                "servers": self.servers.held}
+
     def _hold(self, held: bool) -> None:
         if self._port is not None:
             if held:
--- a/violetsaddle/net/servers.py
+++ b/violetsaddle/net/servers.py
@@ -233,6 +233,11 @@
         self._may_cancel = told.may_cancel
         self._probe_path = "/metrics/load" if told.report_by_probe else "/alive"
 
+    @property
+    def held(self) -> int:
+        """Connections to real servers, those that are being made included."""
+        return len(self._connections) + self._dialling
+
     # The list.
 
     def number_of(self, name: str) -> int:
@@ -315,7 +320,7 @@
 
     def _room(self) -> bool:
         """Whether a descriptor may be used; at the limit the longest idle connection makes room."""
-        if len(self._connections) + self._dialling < self._limits.server_connections:
+        if self.held < self._limits.server_connections:
             return True
         longest = [c for s in self._by_name.values() if s.idle
                    and (c := self._connections.get(s.idle[0])) is not None and c.due is not None]
