--- a/tests/test_node.py
+++ b/tests/test_node.py
@@ -58,6 +58,17 @@
             c expect 200 | next | !second
         """)
 
+    def test_an_exchange_whose_202_never_comes_ends(self) -> None:
+        # Its flow was ended by a callback: a real server that then vanished left the connection open for good.
+        self.start()
+        self.play("""
+            c send job a quote
+            s expect X-Txn: a
+            s call+ a done result=first
+            c expect 200 | first
+            s wait
+        """)
+
     def test_a_late_word_on_an_old_scheduling_is_passed_over(self) -> None:
         self.start()
         self.play("""
--- a/tests/test_sim.py
+++ b/tests/test_sim.py
@@ -676,6 +676,7 @@
         self.assertEqual(self.lives(outcome, 0), [(0, w) for w in ("start", "ready", "term", "ended")])
         self.assertEqual([r.at for r in outcome.records], sorted(r.at for r in outcome.records))
         self.assertEqual(sum(c["flows"] for c in outcome.counters), asked)
+        self.assertEqual([c.get("lists_error", 0) for c in outcome.counters], [0, 0])
         self.clean(outcome)
 
     def test_troubles_of_nodes(self) -> None:
--- a/tests/test_world_boxes.py
+++ b/tests/test_world_boxes.py
@@ -557,6 +557,8 @@
             world.until(at + wait)
             world.ask(0, SECOND)
             self.assertEqual([c for _, _, _, c in world.told], [True] if counts else [])
+            # What counts as told is written at once, however many calls wait for their turn.
+            self.assertEqual([t for t, _ in world.answers[1:]], [world.now] if counts else [])
 
     def test_outage_and_new_life(self) -> None:
         world = RosterWorld(make_day())
--- a/violetsaddle/lab/sim/node.py
+++ b/violetsaddle/lab/sim/node.py
@@ -300,7 +300,7 @@
         self._closed = True
 
     def left(self, alone: bool) -> None:
-        """Tells what it still holds though nobody asks any more; `alone`: boxes and roster have gone too.
+        """Tells what it still holds though nobody asks any more; `alone`: the boxes have gone too.
 
         Allowed are: connections on which boxes call back or which wait for the next scheduling, unless it is
         alone; then only those whose other end has gone without a word that could come through; a deadline for
--- a/violetsaddle/lab/sim/stream.py
+++ b/violetsaddle/lab/sim/stream.py
@@ -51,14 +51,16 @@
     def _raise(fault: BaseException) -> None:
         raise fault
 
-    def enter(self, what: Callable[..., object], *args: Any, **named: Any) -> None:
+    def enter(self, what: Callable[..., object], *args: Any) -> None:
         """One turn."""
         self.network.running, self.inside = self, True
         try:
-            what(*args, **named)
+            what(*args)
         except Exception as fault:
             self.on_fault(fault)
-        self.leave()
+        if self.dirty or self.soon:
+            self.leave()
+        self.inside = False
 
     def leave(self) -> None:
         """The end of a turn: what was put off to it."""
--- a/violetsaddle/net/flows.py
+++ b/violetsaddle/net/flows.py
@@ -233,6 +233,10 @@
             return
         scheduling.ended = True
         self._deadlines.drop(scheduling.late)
+        if scheduling.ticket is not None:
+            # Ended by a callback that overtook its 202.  Guards against a real server that dies before the
+            # 202 comes through, without a word: the connection would wait for good.
+            self._deadlines.after(self._limits.give_up, scheduling.ticket.cancel)
         self._counters.add("outcome_" + outcome)
         flow = self._table.get(scheduling.flow)
         if flow is None:
