--- a/tests/test_node.py
+++ b/tests/test_node.py
@@ -59,7 +59,7 @@
         """)
 
     def test_an_exchange_whose_202_never_comes_ends(self) -> None:
-        # Its flow was ended by a callback: a real server that then vanished left the connection open for good.
+        # Its flow was ended by a callback; a real server that then vanished left the connection for good.
         self.start()
         self.play("""
             c send job a quote
--- a/tests/test_policy.py
+++ b/tests/test_policy.py
@@ -270,3 +270,12 @@
         balancer.answer(1, "a", 3, "ok", 1, True, None)
     with pytest.raises(SettingsError, match="schedulers"):
         Settings(classes=(RequestClass(1, 1),), schedulers=0)
+
+
+def test_alone_own_jobs_in_flight_fill_a_worker() -> None:
+    # Where none tells, reports up to 2 s old decided: full workers looked free and queues formed.
+    balancer, _ = make(workers=4, report=frozenset({"free_slots"}), report_by_probe=True)
+    balancer.probed(0, 1, True, {"free_slots": 2.0})
+    balancer.workers[2].inflight = 2
+    assert balancer._load(3 * SECOND, balancer.workers[2], 1.0) > 0.0
+    assert balancer._load(3 * SECOND, balancer.workers[1], 1.0) == 0.0
--- a/violetsaddle/__main__.py
+++ b/violetsaddle/__main__.py
@@ -14,13 +14,14 @@
 import resource
 import sys
 from collections.abc import Callable
-from typing import TYPE_CHECKING, Any
+from typing import TYPE_CHECKING, Any, TextIO, cast
 
 from violetsaddle import settings
 from violetsaddle.interface import SettingsError
 from violetsaddle.net.discovery import BadList, address
 from violetsaddle.net.limits import Limits
 from violetsaddle.net.node import Config, ConfigError, run, unchanged
+from violetsaddle.net.outlet import Outlet
 
 if TYPE_CHECKING:
     from violetsaddle.log import Log
@@ -96,7 +97,7 @@
     except ModuleNotFoundError as error:
         raise ConfigError(f"RELAY_OPERATOR: needs the package {error.name}, which is not installed") from None
     told = operator.load(path)
-    return told.limits_for, log.make(told.log, name, sys.stderr)
+    return told.limits_for, log.make(told.log, name, cast(TextIO, Outlet(sys.stderr)))
 
 
 def main() -> int:
--- a/violetsaddle/net/counters.py
+++ b/violetsaddle/net/counters.py
@@ -8,6 +8,8 @@
 from collections.abc import Callable
 from typing import Protocol
 
+from violetsaddle.net.outlet import Outlet
+
 
 class Sink(Protocol):
     """Where an operator file sends the log; none of its methods raises."""
@@ -24,7 +26,7 @@
 class Counters:
     def __init__(self, name: str, log: Sink | None = None) -> None:
         """`log`: takes the lines and events instead of standard error."""
-        self.name, self._log = name, log
+        self.name, self._log, self._outlet = name, log, Outlet(sys.stderr)
         self._counts: Counter[str] = Counter()
         self.held: Callable[[], dict[str, int]] = dict  # what is held at this moment, shown with the counts
 
@@ -52,7 +54,7 @@
             self._log.say(text)
             return
         try:
-            print(f"{self.name}: {text}", file=sys.stderr, flush=True)
+            print(f"{self.name}: {text}", file=self._outlet, flush=True)
         except OSError:
             pass  # a log that has gone away is no reason to stop serving
 
--- a/violetsaddle/net/discovery.py
+++ b/violetsaddle/net/discovery.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import json
+import math
 from collections.abc import Sequence
 from typing import Any
 
@@ -26,7 +27,7 @@
 
 def address(text: object, least: int = 1) -> tuple[str, int]:
     host, _, port = text.rpartition(":") if isinstance(text, str) else ("", "", "")
-    if not host or not port.isdigit() or not least <= int(port) < 65536:
+    if not host or not (host + port).isascii() or not port.isdigit() or not least <= int(port) < 65536:
         raise BadList(f"addr is no address: {text!r}")
     return host, int(port)
 
@@ -55,12 +56,14 @@
         """Hands a list on; raises `BadList`, and then nothing of it counts."""
         try:
             version, whole, items = int(told["version"]), bool(told["full"]), list(told["servers"])
-            entries, addresses, gone = [], {}, []
+            entries, gone = [], []
+            addresses: dict[str, tuple[str, int]] = {}
             for item in items:
                 entry = self._entry(item)
                 entries.append(entry)
                 if entry.state == api.GONE:
                     gone.append(item["id"])
+                    addresses.pop(item["id"], None)  # of two entries with one name the last counts
                 else:
                     addresses[item["id"]] = address(item.get("addr"))
         except (BadList, KeyError, TypeError, ValueError, OverflowError, AttributeError) as error:
@@ -76,11 +79,13 @@
         name, state = item["id"], STATES[item.get("state", "up")]
         if not isinstance(name, str) or not name:
             raise BadList("an entry's id is no name")
-        started = int(item.get("started_ms") or 0)
+        started, weight = int(item.get("started_ms") or 0), float(item.get("weight", 1.0))
+        if not (math.isfinite(weight) and weight >= 0.0):
+            raise BadList(f"no weight: {weight}")
         return api.Entry(
             worker=self._servers.number_of(name), zone=self._index(self._zones, item.get("zone", 0)),
             cell=int(item.get("cell") or 0), kind=self._index(self._kinds, item.get("kind", 0)),
-            weight=float(item.get("weight", 1.0)), state=state,
+            weight=weight, state=state,
             started=started * MS + self._clock_ahead or 1 if started else 0)
 
     @staticmethod
--- a/violetsaddle/net/flows.py
+++ b/violetsaddle/net/flows.py
@@ -183,6 +183,8 @@
         if flow is None:
             return
         try:
+            # A guess beyond the class's whole time is none, and would spoil the module's means.
+            hint = min(hint, self._told.classes[cls].deadline)
             self._balancer.request(flow.deadline - remaining, flow.job, cls, remaining, tenant, slots, key,
                                    hint)
         except Exception as error:
--- a/violetsaddle/net/http.py
+++ b/violetsaddle/net/http.py
@@ -163,6 +163,8 @@
             raise Malformed(400, "not an HTTP request")
         if not CONTROLS.isdisjoint(parts[1].encode("ascii")):
             raise Malformed(400, "the target holds control characters")
+        if parts[1][:7].lower() == "http://":  # RFC 9112, 3.2.2: to be taken, though clients have no reason
+            parts[1] = "/" + parts[1][7:].partition("/")[2]
         if parts[2] not in ("HTTP/1.1", "HTTP/1.0"):
             raise Malformed(505 if parts[2].startswith("HTTP/") else 400, "the version is not HTTP/1.1")
         return parts[0], parts[1], parts[2]
--- a/violetsaddle/net/servers.py
+++ b/violetsaddle/net/servers.py
@@ -3,8 +3,9 @@
 from __future__ import annotations
 
 import json
+import math
 from collections.abc import Callable, Mapping, Sequence
-from typing import Any, cast
+from typing import Any
 from zlib import crc32
 
 from twisted.internet.defer import CancelledError, Deferred, fail, succeed
@@ -18,7 +19,7 @@
 from violetsaddle.net.counters import Counters
 from violetsaddle.net.deadlines import Deadline, Deadlines, Reactor, Transport, nothing
 from violetsaddle.net.flows import Flows, Order, Scheduling
-from violetsaddle.net.limits import Limits
+from violetsaddle.net.limits import SPARE_DESCRIPTORS, Limits
 from violetsaddle.net.slots import SlotTable
 
 
@@ -113,6 +114,7 @@
             message = self._parser.next() if self._answer is not None else None
             if message is None:
                 if self._answer is None:
+                    self.open = False  # it closes in a later turn: till then nothing may be sent
                     self.transport.abortConnection()  # nothing was asked
                 return
             if not message.keeps_alive or self._parser.held or not self._written:
@@ -254,10 +256,14 @@
         """Takes in where real servers are; `whole`: those not named have gone."""
         for name, (host, port) in addresses.items():
             server = self._by_number[self.number_of(name)]
-            if (server.host, server.port) != (host, port):
+            if server.listed and (server.host, server.port) != (host, port):
+                # What is still out belongs to the old place: its connections, and a DELETE.
+                server.listed = False
                 self._drop_idle(server)
+                server = RealServer(name, server.number)
+                self._by_name[name] = self._by_number[server.number] = server
             server.host, server.port, server.listed = host, port, True
-        left = [*gone, *(n for n in self._by_name if whole and n not in addresses)]
+        left = [n for n in (*gone, *(self._by_name if whole else ())) if n not in addresses]
         for name in left:
             if name in self._by_name:
                 # Forgotten, or a day's churn of names would stay for good; what is still out keeps it alive.
@@ -299,8 +305,8 @@
                 return connection
         return None
 
-    def _connect(self, server: RealServer) -> Deferred[ServerConnection]:
-        if not server.port or not self._room():
+    def _connect(self, server: RealServer, spare: int = 0) -> Deferred[ServerConnection]:
+        if not server.port or not self._room(spare):
             return fail(NotConnected())
         self._dialling += 1
         dialled = dial(self._reactor, self._deadlines, self._limits.dial, server.host, server.port,
@@ -318,9 +324,10 @@
 
         return dialled.addBoth(over).addCallback(up)
 
-    def _room(self) -> bool:
-        """Whether a descriptor may be used; at the limit the longest idle connection makes room."""
-        if self.held < self._limits.server_connections:
+    def _room(self, spare: int = 0) -> bool:
+        """Whether a descriptor may be used, `spare` above the limit included; at it the longest idle
+        connection makes room."""
+        if self.held < self._limits.server_connections + spare:
             return True
         longest = [c for s in self._by_name.values() if s.idle
                    and (c := self._connections.get(s.idle[0])) is not None and c.due is not None]
@@ -477,8 +484,9 @@
         if connection is not None:
             deleting = self._on(connection, message, written)
         else:
-            deleting = cast("Deferred[http.Message]", self._connect(server).addCallback(
-                self._on, message, written))
+            # At the limit too: the connection just aborted is counted until the next turn.
+            dialled: Deferred[Any] = self._connect(server, SPARE_DESCRIPTORS // 4)
+            deleting = dialled.addCallback(self._on, message, written)
         late = self._deadlines.after(self._limits.give_up, deleting.cancel)
 
         def over(result: object) -> None:
@@ -534,7 +542,11 @@
         named = {}
         for name, value in load.items():
             try:
-                named[self._fields.get(str(name).strip(), str(name).strip())] = float(value)
-            except (TypeError, ValueError):
+                number = float(value)
+            except (TypeError, ValueError, OverflowError):
+                number = math.nan
+            if math.isfinite(number):
+                named[self._fields.get(str(name).strip(), str(name).strip())] = number
+            else:
                 self._counters.add("bad_reports")
         return named or None
--- a/violetsaddle/policy.py
+++ b/violetsaddle/policy.py
@@ -37,7 +37,7 @@
 FRESH = 2 * SECOND  # a load report older than this says nothing of now
 FULL_REST = SECOND // 4  # a worker that was full is left alone so long
 TOLD_FOR = 3 * SECOND  # what a peer told of its jobs in flight counts so long without a further word
-HOME_BONUS, SILENT_NOTES = 1.15, 2.5  # appeal of the own zone in a tie; progress intervals without a word
+HOME_BONUS, SILENT_NOTES, MOST_FREE = 1.15, 2.5, 1e6  # own zone in a tie; intervals of progress; slots
 AWAY, AWAY_CROWD = 0.05, 0.9  # weight of other zones' workers while fewer than so many are seen without room
 REPORTS_ENOUGH, PROBES_LEAST = 150, 0.1  # where peers tell their jobs, reports show little but the slots
 MOST_TOLD, MOST_AHEAD = 80, 8  # workers in one telling (256 bytes at most); drawn and probed ahead
@@ -45,10 +45,9 @@
 LIVE_CROWDED = 0.5  # of its largest live weight: the worker holds more than a request a core
 # Health
 SHUT_FOR, MOST_STRIKES = SECOND, 4  # first ejection, doubled by each strike up to so many
-MOST_SHUT = 0.3  # of the fleet ejected at once: the rest must not drown
-DOUBT = 0.2  # trust in a worker that was struck, doubled by each sign of life
-ERROR_STEP, ERROR_MOST = 0.15, 0.25  # weight of each outcome in the share of errors; above it a worker is ill
-ILL_FOR, ILL_DOUBLINGS = SECOND, 3  # an ill worker gets nothing so long, doubled by each relapse
+MOST_SHUT, DOUBT = 0.3, 0.2  # share ejected at once; trust in one struck, doubled by each sign of life
+ERROR_STEP, ERROR_MOST = 0.15, 0.25  # weight of each outcome in the share of errors; above it one is ill:
+ILL_FOR, ILL_DOUBLINGS = SECOND, 3  # it gets nothing so long, doubled by each relapse
 SPEED_STEP, SPEED_EASE = 0.3, 0.05  # weight of a new run in a worker's speed; of its kind's, each tick
 ZONE_STRIKES, ZONE_DOUBT = 3, 0.04  # failures in a row until a zone counts as cut; draws it keeps
 # Further tries
@@ -256,7 +255,8 @@
         self.crowd = 1.0  # share of workers seen without room; without reports late starts alone decide
         self.retries, self.copies = RETRY_MOST / 2, COPY_MOST / 2
         self.ahead: list[Worker] = []
-        self.peers: dict[int, Peer] = {}
+        self.alone = told.schedulers < 2 or not told.may_tell  # own jobs speak for all: N times as many
+        self.peers: dict[int, Peer] = {told.me: Peer()} if self.alone else {}
         self.reports, self.mean_free = 0, 0.0  # seen, and the mean of their free slots
         self.tellings, self.schedulers = 0, told.schedulers
         self.speeds: dict[int, float] = {}  # mean by kind
@@ -294,7 +294,7 @@
         jam = self.pressure > PRESSURE_SURE or (now < self.tight_until and not self.fleet.by_reports)
         # N as heard: who tells nothing is down, and its clients come here.  None heard yet: N as told.
         heard = sum(now - peer.at < TOLD_FOR for peer in self.peers.values())
-        self.schedulers = 1 + heard if self.peers else told.schedulers
+        self.schedulers = 1 + heard if self.peers and not self.alone else told.schedulers
         rate = self.fleet.estimate(ready, jam, self.own_rate * self.schedulers)
         if rate is not None:
             for bucket, share in zip(self.buckets, self.shares):
@@ -303,7 +303,7 @@
         self._tell(now, None)
         for worker in self.workers.values():
             if worker.speed:
-                worker.speed += SPEED_EASE * (self.speeds[worker.kind] - worker.speed)
+                worker.speed += SPEED_EASE * (self.speeds.get(worker.kind, worker.speed) - worker.speed)
         self._after(now, TICK, self._tick, None)
 
     # What schedulers tell each other: jobs in flight at a worker, as they change; all of them each tick.
@@ -338,7 +338,8 @@
 
     def _busy(self, now: int, worker: Worker) -> tuple[int, bool]:
         """Jobs in flight at a worker, own and told; whether it is ill, by own or told experience."""
-        key, busy, ill = worker.mark, worker.inflight, worker.ill_until > now
+        key, ill = worker.mark, worker.ill_until > now
+        busy = worker.inflight * (self.schedulers if self.alone else 1)
         for peer in self.peers.values():
             if now - peer.at < TOLD_FOR and key in peer.counts:
                 told = peer.counts[key][1]
@@ -399,7 +400,7 @@
         """A worker seen for the first time, or restarted under its old id: may be cold."""
         worker.strikes, worker.trust, worker.free_at, worker.life = 0, 1.0, -FRESH, 0
         self._open(worker)
-        worker.cold_until = worker.started + self.told.cold_for if worker.started else 0
+        worker.cold_until = min(worker.started, now) + self.told.cold_for if worker.started else 0
         if worker.cold_until > now:
             # A slice is under one job: filled at random, or all schedulers would send their first at once.
             worker.cold = TokenBucket(now, self.largest, self.largest * self.random())
@@ -479,7 +480,7 @@
         self.crowd += step * (crowded - self.crowd)
 
     def _report(self, now: int, worker: Worker, report: api.Report) -> None:
-        if (free := report.get("free_slots")) is None:
+        if (free := report.get("free_slots")) is None or not abs(free) < MOST_FREE:
             return
         worker.free, worker.free_at, worker.sent_since = free, now, 0.0
         if not (self.told.live_weights or self.peers):
@@ -503,7 +504,7 @@
     def _draw(self, now: int, pool: Pool, slots: float, request: Request | None) -> Worker | None:
         """A random ready worker, by weight; rejection keeps it O(1)."""
         random, items, top, trust = self.random, pool.items, pool.top, self.zone_trust
-        n, home, spare, least = len(items), self.told.zone, None, float("inf")
+        n, home, spare, least, debtor = len(items), self.told.zone, None, float("inf"), None
         away = AWAY if self.crowd < AWAY_CROWD else 1.0
         for _ in range(DRAWS if n else 0):
             worker = items[int(random() * n)]
@@ -513,7 +514,10 @@
             weight *= 1.0 if worker.zone == home else away
             if worker.cold_until > now:
                 weight *= self._cold_allows(now, worker, slots if request is None else request.cost)
-            if not weight or (request is not None and request.attempts and request.tried(worker)):
+            if request is not None and request.attempts and request.tried(worker):
+                continue
+            if not weight:  # where all are cold, a heavy job is paid by debt: no budget grows to its cost
+                debtor = worker if worker.cold_until > now and worker.cold.tokens >= self.largest else debtor
                 continue
             load = self._load(now, worker, slots)
             if random() * top <= weight and load <= 0.0:
@@ -522,7 +526,7 @@
             badness = 4.0 * load + 1.0 - weight / top
             if badness < least:
                 least, spare = badness, worker
-        return spare
+        return spare or (debtor if request is not None else None)
 
     def _appeal(self, now: int, worker: Worker) -> float:
         """Breaks ties of own jobs in flight: size, what was reported, the own zone."""
@@ -552,9 +556,6 @@
             return first if first.inflight < second.inflight else second
         return first if self._appeal(now, first) >= self._appeal(now, second) else second
 
-    def _crowded(self, now: int, worker: Worker, slots: float) -> bool:
-        return self._load(now, worker, slots) > 0.0
-
     def _load(self, now: int, worker: Worker, slots: float) -> float:
         """How far a worker is from starting a job at once: above 0, it would wait there or come back."""
         busy, ill = self._busy(now, worker)
@@ -587,7 +588,7 @@
             chance = worker.trust
             if worker.cold_until > now:
                 chance *= self._cold_allows(now, worker, request.cost)
-            if worker.pools and self.random() < chance and not self._crowded(now, worker, request.slots):
+            if worker.pools and self.random() < chance and self._load(now, worker, request.slots) <= 0.0:
                 best = worker if best is None else self._better(now, best, worker)
         return best
 
@@ -607,7 +608,7 @@
             worker = self.ahead.pop()
             if (worker.pools and worker.cold_until <= now and now - worker.free_at < FRESH
                     and worker.free - worker.sent_since >= request.slots
-                    and not self._crowded(now, worker, request.slots)
+                    and self._load(now, worker, request.slots) <= 0.0
                     and self.zone_trust[worker.zone] == 1.0):
                 return worker
         return None
@@ -635,7 +636,7 @@
         self.copies = min(COPY_MOST, self.copies + COPY_SHARE)
         if (self.told.live_weights or self.peers) and self.everyone.items:
             items = self.everyone.items
-            self._seen(self._crowded(now, items[int(self.random() * len(items))], 1.0))
+            self._seen(self._load(now, items[int(self.random() * len(items))], 1.0) > 0.0)
         self.largest = max(self.largest, slots)
         bucket.burst = max(LEAST_BURST, self.largest)
         if not bucket.take(now, slots) and now < self.tight_until:
@@ -664,7 +665,7 @@
         self.act.send(request.id, worker.id, 0)
         self._tell(now, worker)
         if self.told.tells_start:
-            self._after(now, request.patience, self._check, (request.id, attempt.number))
+            self._after(now, request.patience, self._check, (request.id, attempt.number, request.deadline))
         return True
 
     def _hold(self, now: int, request: Request, wait: int) -> None:
@@ -695,12 +696,12 @@
         if not request.out:
             del self.requests[request.id]
 
-    def _check(self, now: int, about: tuple[str, int]) -> None:
+    def _check(self, now: int, about: tuple[str, int, int]) -> None:
         """Silence is evidence: no start note, or no progress where it is told."""
-        request = self.requests.get(about[0])
-        if request is None or request.over or not request.attempts[about[1]].out:
+        request, (_, number, end) = self.requests.get(about[0]), about
+        if request is None or request.over or request.deadline != end or not request.attempts[number].out:
             return
-        worker = (attempt := request.attempts[about[1]]).worker
+        worker = (attempt := request.attempts[number]).worker
         if attempt.started:
             every = self.told.progress_every
             if now - worker.life < SILENT_NOTES * every:
@@ -721,7 +722,7 @@
                 and request.spec.effect != api.UNSAFE and len(request.attempts) < told.most_attempts):
             # Where one copy at most may be out, a silent worker's job moves to one that can start it now.
             to = self._choose(now, request)
-            if to is not None and not self._crowded(now, to, request.slots):
+            if to is not None and self._load(now, to, request.slots) <= 0.0:
                 return self.act.cancel(request.id, attempt.number)
         self._after(now, request.patience + 1, self._check, about)
 
@@ -750,7 +751,7 @@
                 if other.out and not other.started:
                     self.act.cancel(job, other.number)
             if self.told.progress_every:
-                self._after(now, 3 * self.told.progress_every, self._check, (job, number))
+                self._after(now, 3 * self.told.progress_every, self._check, (job, number, request.deadline))
 
     def stream_began(self, now: int, job: str, number: int) -> None:
         request = self.requests.get(job)
@@ -825,9 +826,6 @@
         before = worker.speed or kind
         worker.speed = before + SPEED_STEP * (min(speed, 2.0 * kind) - before)
 
-    def _speed(self, worker: Worker) -> float:
-        return worker.speed or self.speeds.get(worker.kind) or worker.weight
-
     def _retry(self, now: int, request: Request, outcome: str) -> None:
         """Nothing is out and the final answer is owed: another try where it is allowed, else the end."""
         tries = len(request.attempts)
