Import Twisted without asyncio, http and OpenSSL, the collector off

Cause: most of a start is imports, a quarter of them for names that a node never uses: asyncio (Deferred.asFuture), http.cookiejar (twisted.web), html, ctypes (Windows), OpenSSL (hashlib, for blake2b). Stand-ins take their places while Twisted is imported and are gone afterwards; what Twisted holds of them turns into the real thing on use, and a name that is not foreseen comes from the real module at once. The collector waits until the imports are done.

--- a/violetsaddle/__main__.py
+++ b/violetsaddle/__main__.py
@@ -2,12 +2,18 @@
 
 from __future__ import annotations
 
+import gc
 import signal
 
 if __name__ == "__main__":
     # Before all else: the imports below take a while, in which either would end the program.
     signal.signal(signal.SIGHUP, signal.SIG_IGN)
     signal.signal(signal.SIGUSR1, signal.SIG_IGN)
+    # What imports make is kept: the collector would only look through it again and again.  `run` has it back.
+    gc.disable()
+    from violetsaddle.net import lean
+
+    lean.load()
 
 import json
 import os
--- a/violetsaddle/net/edge.py
+++ b/violetsaddle/net/edge.py
@@ -7,7 +7,6 @@
 import socket
 from collections.abc import Callable, Sequence
 from dataclasses import dataclass, field
-from hashlib import blake2b
 from urllib.parse import parse_qsl
 
 from twisted.internet.interfaces import IAddress
@@ -22,6 +21,11 @@
 from violetsaddle.net.limits import MS, SECOND, Limits
 from violetsaddle.net.slots import SlotTable
 
+try:
+    from _blake2 import blake2b  # as hashlib would give it, which loads OpenSSL first
+except ImportError:
+    from hashlib import blake2b
+
 UNITS = {"m": MS, "u": 1}
 ID = re.compile("[!-~]+")
 STATES = {"done": api.OK, "failed": api.ERROR, "returned": api.FULL, "lost": api.RESET}
--- a/violetsaddle/net/node.py
+++ b/violetsaddle/net/node.py
@@ -186,6 +186,7 @@
     gc.collect()
     gc.freeze()
     gc.set_threshold(20_000, 20, 50)
+    gc.enable()
     running.run(installSignalHandlers=False)
     node.counters.show()
     return 0
