Listen before the imports, so that clients wait instead of being refused

Cause: for the whole of a start nobody listened, though the address is known as soon as the configuration is read. The socket listens first and the reactor takes it over; requests wait in the backlog until the node reads them. Where it can't be had so early (no IPv4 address, any port, address in use, a configuration that can't be read), the node listens and reports as before. A start that fails later resets those who wait.

--- a/tests/test_start.py
+++ b/tests/test_start.py
@@ -1,17 +1,111 @@
-"""The program's start: what it leaves out of its imports, and what the build leaves it."""
+"""The program's start: what it listens for and when, and what it leaves out of its imports."""
 
 from __future__ import annotations
 
+import json
 import os
+import socket
 import subprocess
 import sys
 import tempfile
 import textwrap
+import time
 import tomllib
 import unittest
 from pathlib import Path
+from typing import Any
+
+from tests.scenario import SETTINGS
 
 ROOT = Path(__file__).parent.parent
+LONG = 20.0
+# Put before the program: its import of Twisted waits until somebody opens the pipe for writing.
+HELD = """
+    import os, sys
+    class Hold:
+        def find_spec(self, name, path=None, target=None):
+            if name == "twisted":
+                sys.meta_path.remove(self)
+                open(os.environ["HELD_BY"]).read()
+    if "-m" in sys.orig_argv:
+        sys.meta_path.insert(0, Hold())
+"""
+
+
+class Start(unittest.TestCase):
+    def setUp(self) -> None:
+        folder = tempfile.TemporaryDirectory()
+        self.addCleanup(folder.cleanup)
+        self.folder = Path(folder.name)
+        self.pipe = self.folder / "pipe"
+        (self.folder / "sitecustomize.py").write_text(textwrap.dedent(HELD))
+        with socket.socket() as one:
+            one.bind(("127.0.0.1", 0))
+            self.port = one.getsockname()[1]
+
+    def launch(self, held: bool = False, **changes: Any) -> subprocess.Popen[str]:
+        config = {"name": "n0", "listen": f"127.0.0.1:{self.port}", "discovery": "127.0.0.1:9", "seed": "1",
+                  "settings": SETTINGS, **changes}
+        (self.folder / "config.json").write_text(json.dumps(config))
+        env = {**os.environ, "RELAY_CONFIG": str(self.folder / "config.json"), "PYTHONPATH": str(ROOT)}
+        env.pop("RELAY_LISTEN", None)
+        if held:
+            os.mkfifo(self.pipe)
+            env.update(PYTHONPATH=f"{self.folder}:{ROOT}", HELD_BY=str(self.pipe))
+        node = subprocess.Popen([sys.executable, "-m", "violetsaddle"], env=env, stdout=subprocess.DEVNULL,
+                                stderr=subprocess.PIPE, text=True)
+        self.addCleanup(node.communicate)
+        self.addCleanup(node.kill)
+        return node
+
+    def connect(self) -> socket.socket:
+        until = time.monotonic() + LONG
+        while True:
+            try:
+                client = socket.create_connection(("127.0.0.1", self.port), LONG)
+                self.addCleanup(client.close)
+                return client
+            except ConnectionRefusedError:
+                self.assertLess(time.monotonic(), until, "the program does not listen")
+
+    def test_who_connects_while_it_still_imports_is_served(self) -> None:
+        node = self.launch(held=True)
+        client = self.connect()
+        client.sendall(b"GET /up HTTP/1.1\r\nHost: n0\r\n\r\n")
+        client.setblocking(False)
+        self.assertRaises(BlockingIOError, client.recv, 64)
+        client.settimeout(LONG)
+        with open(self.pipe, "w"):
+            pass  # its imports go on
+        self.assertTrue(client.recv(64).startswith(b"HTTP/1.1 200"))
+        assert node.stderr is not None
+        self.assertEqual(node.stderr.readline(), f"n0: listening on 127.0.0.1:{self.port}\n")
+        node.terminate()
+        self.assertEqual(node.wait(LONG), 0)
+        self.assertRaises(ConnectionRefusedError, socket.create_connection, ("127.0.0.1", self.port))
+
+    def test_a_bad_configuration_is_told_in_one_line_and_resets_who_waits(self) -> None:
+        node = self.launch(held=True, seed="no number")
+        client = self.connect()
+        with open(self.pipe, "w"):
+            pass
+        self.assertEqual(node.communicate(timeout=LONG)[1],
+                         "violetsaddle: seed: must be hexadecimal, not 'no number'\n")
+        self.assertEqual(node.returncode, 2)
+        self.assertRaises(ConnectionResetError, client.recv, 64)
+
+    def test_addresses_that_can_not_be_had(self) -> None:
+        with socket.create_server(("127.0.0.1", self.port)):
+            node = self.launch()
+            said = node.communicate(timeout=LONG)[1]
+        self.assertEqual(node.returncode, 1)
+        self.assertIn("n0: listen: Couldn't listen on 127.0.0.1", said)
+        for listen in ("127.0.0.1", 7, "127.0.0.1:99999"):
+            node = self.launch(listen=listen)
+            said = node.communicate(timeout=LONG)[1]
+            self.assertEqual((node.returncode, said.count("\n")), (2, 1), said)
+            self.assertIn("listen: addr is no address", said)
+
 
 LEAN = """
     import sys
--- a/violetsaddle/__main__.py
+++ b/violetsaddle/__main__.py
@@ -11,8 +11,9 @@
     signal.signal(signal.SIGUSR1, signal.SIG_IGN)
     # What imports make is kept: the collector would only look through it again and again.  `run` has it back.
     gc.disable()
-    from violetsaddle.net import lean
+    from violetsaddle.net import early, lean
 
+    LISTENER = early.listen()
     lean.load()
 
 import json
@@ -20,6 +21,7 @@
 import resource
 import sys
 from collections.abc import Callable
+from socket import socket
 from typing import TYPE_CHECKING, Any
 
 from violetsaddle import settings
@@ -105,7 +107,8 @@
     return told.limits_for, log.make(told.log, name, sys.stderr)
 
 
-def main() -> int:
+def main(listener: socket | None = None) -> int:
+    """Runs a node and gives the program's status; `listener`: listens at its address already."""
     signal.signal(signal.SIGHUP, signal.SIG_IGN)  # until the node listens for it
     try:
         config = read()
@@ -114,7 +117,7 @@
         print(f"violetsaddle: {error}".replace("\n", " "), file=sys.stderr)
         return 2
     try:
-        return run(config, reread, adjust, log)
+        return run(config, reread, adjust, log, listener)
     except BadList as error:
         print(f"violetsaddle: known: {error}".replace("\n", " "), file=sys.stderr)
         return 2
@@ -124,4 +127,4 @@
 
 
 if __name__ == "__main__":
-    sys.exit(main())
+    sys.exit(main(LISTENER))
--- a/violetsaddle/net/node.py
+++ b/violetsaddle/net/node.py
@@ -4,6 +4,7 @@
 
 import gc
 import signal
+import socket
 from collections.abc import Callable, Mapping, Sequence
 from dataclasses import dataclass
 from typing import Any
@@ -77,8 +78,10 @@
         self._port: Any = None  # None: not listening
         self._stopping = self._ended = False
 
-    def start(self) -> None:
-        """Listens; raises `CannotListenError`, or `BadList` where the known list can't be read."""
+    def start(self, listener: socket.socket | None = None) -> None:
+        """Listens; raises `CannotListenError`, or `BadList` where the known list can't be read.
+
+        `listener`: listens already, at the address of the configuration; it is taken over."""
         if self._config.known:
             self.discovery.take(self._config.known, api.DISK)
         host, port = self._config.listen
@@ -87,7 +90,12 @@
                           self._config.peers_all)
             peers.listen(self._config.peer_listen)
             self.flows.teller = peers
-        self._port = self._reactor.listenTCP(port, self.edge, self.limits.backlog, host)
+        if listener is None:
+            self._port = self._reactor.listenTCP(port, self.edge, self.limits.backlog, host)
+        else:
+            listener.listen(self.limits.backlog)  # again: it may be another one
+            self._port = self._reactor.adoptStreamPort(listener.fileno(), listener.family, self.edge)
+            listener.close()  # the reactor has a copy
         self.edge.hold = self._hold
         at = self._port.getHost()
         self.counters.say(f"listening on {at.host}:{at.port}")
@@ -167,7 +175,8 @@
 
 
 def run(config: Config, reread: Callable[[], Config], adjust: Callable[[Limits], Limits] = unchanged,
-        log: Sink | None = None) -> int:
+        log: Sink | None = None, listener: socket.socket | None = None) -> int:
+    """Runs a node until its end and gives the program's status; `listener`: see `Node.start`."""
     from twisted.internet import reactor  # the default one: epoll where there is epoll
 
     node = Node(reactor, config, reread, adjust, log)
@@ -178,7 +187,7 @@
                          (signal.SIGHUP, node.reload), (signal.SIGUSR1, node.counters.show)):
         signal.signal(number, lambda *_, what=what: running.callFromThread(what))
     try:
-        node.start()
+        node.start(listener)
     except CannotListenError as error:
         node.counters.say(f"listen: {error}")
         return 1
