--- a/tests/test_world_clients.py
+++ b/tests/test_world_clients.py
@@ -71,6 +71,12 @@
         self.assertEqual({box.hall for box in drawn.boxes}, set(range(len(drawn.halls))))
         self.assertTrue(all(b.leaves == 0 or b.joins == 0 for b in drawn.boxes))
 
+    def test_troubles_that_are_named_come_on_every_day(self) -> None:
+        for seed in range(20):
+            drawn = scenario.draw(scenario.load("reload-two"), seed)
+            self.assertEqual([(t.kind, t.nodes, t.at) for t in drawn.troubles],
+                             [("restart", (1,), 13_700 * MS), ("restart", (0,), 16_700 * MS)])
+
     def test_another_hash_seed_gives_the_same(self) -> None:
         said = {subprocess.run([sys.executable, "-c", PRINTS], check=True, capture_output=True, text=True,
                                env={**os.environ, "PYTHONHASHSEED": seed}).stdout for seed in ("1", "2")}
@@ -464,6 +470,32 @@
         told = self.told(self.play(self.day((2, 200), (2, 400)), takes_and_closes))
         self.assertEqual(told, ["sent 0.0", "answer 200", "sent 1.0", "lost closed"])
 
+    def test_kept_connections_while_no_node_takes_new_ones(self) -> None:
+        away = Trouble("restart", 300 * MS, 19 * SECOND, nodes=(0,))
+        lines: list[Served] = []
+        served = wire.answer(200, {}, b"r")
+
+        def script(node: Served, message: wire.Message) -> None:
+            lines.append(node)
+            if len(lines) not in (3, 4):
+                node.out.write(served)
+
+        def meddle(loop: Loop, node: SimReactor, mine: SimReactor) -> None:
+            loop.call_at(1200 * MS, lambda: node.enter(lambda: lines[3].out.write(served)))
+
+        # Two connections, both taken at 1 s, so that a third job has no way; at 1.2 s one is free again.
+        wants = (2, 200), (2, 200), (2, 1000), (2, 1010), (0, 1100), (2, 1300)
+        for shuns, last in [(False, ["sent 5.0", "answer 200"]), (True, ["unreached -1"])]:
+            lines.clear()
+            drawn = self.day(*wants, troubles=(away,), shuns=shuns, tries=1)
+            told = self.told(self.play(drawn, script, meddle=meddle))
+            now = ["sent 2.0", "sent 3.0", "unreached -1", "answer 200", *last, "overdue"]
+            self.assertEqual(told[4:], now)
+        # One that was not used for so long is closed, and a new one can't be had.
+        lines.clear()
+        drawn = self.day((2, 200), (2, 1000), troubles=(away,), keeps=500 * MS, tries=1)
+        self.assertEqual(self.told(self.play(drawn, script)), ["sent 0.0", "answer 200", "unreached -1"])
+
     def test_a_kernel_tells_what_was_not_read(self) -> None:
         """The same over loopback: there a reset, or an error that waits on the socket, says so."""
         for case, expected in [("reads", ["lost closed"]), ("unread", ["sent 1.0", "answer 200"]),
--- a/violetsaddle/lab/parties/clients.py
+++ b/violetsaddle/lab/parties/clients.py
@@ -54,6 +54,7 @@
         self.answers = 0
         self.bytes = 0  # of the present answer
         self.wrote = 0  # when
+        self.idle_since = 0
         self.ends = False  # takes no further request
         self.parted = False  # the node has ended its stream, not without a request on it
         self._parting: Any = None
@@ -268,6 +269,7 @@
         self._waiting: deque[_Open] = deque()
         self._open: dict[_Open, None] = {}
         self._stopped = False
+        self._cut_off = False  # a connection found no node, and none is in since
         self._timers: list[Any] = []
 
     def start(self) -> None:
@@ -331,12 +333,20 @@
         else:
             opened.timer = scene.reactor.callLater(max(0, end - now) / SECOND, self._overdue, opened)
         self._open[opened] = None
-        if self._idle:
+        self._cut_off = self._cut_off and not any(map(self.front.alive, self.front.nodes))
+        self._trim(now)
+        if self._idle and not self._cut_off:
             line, _ = self._idle.popitem()
             self._ask(line, opened)
         else:
             self._connect(opened)
 
+    def _trim(self, now: int) -> None:
+        """Closes what was not used for long.  The one used last is taken first, so that the oldest lead."""
+        keeps = self.scene.day.load.keeps
+        while keeps and self._idle and now - (line := next(iter(self._idle))).idle_since >= keeps:
+            line.drop()
+
     def _connect(self, opened: _Open) -> None:
         scene = self.scene
         most = scene.day.load.connections
@@ -345,6 +355,7 @@
             return
         node = self.front.deal()
         if node == NOBODY:
+            self._cut_off = scene.day.load.shuns
             self._no_way(opened, NOBODY)
             return
         line = _Line(self, node, opened)
@@ -486,6 +497,7 @@
 
     def _free(self, line: _Line) -> None:
         if not self._serve_waiting(line):
+            line.idle_since = self.scene.now()
             self._idle[line] = None
 
     def _serve_waiting(self, line: _Line | None = None) -> bool:
--- a/violetsaddle/world/day.py
+++ b/violetsaddle/world/day.py
@@ -101,6 +101,8 @@
     keys: int  # different subjects (sid); 0: none is named
     connections: int = 0  # that each hall's clients may hold; 0: as many as they need
     notice: int = SECOND  # the front notices a dead node so late
+    keeps: int = 0  # clients close a connection that was not used for so long; 0: never
+    shuns: bool = False  # once a client finds no node for a new connection, the kept ones are not used either
 
 
 class RosterSpec(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
--- a/violetsaddle/world/scenario.py
+++ b/violetsaddle/world/scenario.py
@@ -140,6 +140,8 @@
     keys: Whole = 0
     connections: Whole = 0
     notice_s: Above0 = 1.0
+    keeps_s: Least0 = 0.0  # clients close a connection unused for so long; 0: never
+    shuns: bool = False
 
 
 class Roster(_Table, frozen=True):
@@ -176,6 +178,7 @@
     kind: str | Annotated[tuple[str, ...], Meta(min_length=1)]
     probability: Share = 1.0  # or its weight where `trouble_count` picks
     share: Share = (0.07, 0.24)  # of the boxes, nodes or halls; at least one
+    these: list[_Whole] = []  # their numbers, in place of a share
     at: Share = (0.15, 0.6)  # share of the day's length
     at_s: Least0 | None = None  # in place of `at`
     lasts_s: Above0
@@ -520,7 +523,7 @@
     share = draw.real(spec.share)
     if kind.concerns:
         most = 1 if name in ("cut", "oneway") else counts[kind.concerns]
-        places[kind.concerns] = draw.some(counts[kind.concerns], share, 1)[:most]
+        places[kind.concerns] = tuple(spec.these) or draw.some(counts[kind.concerns], share, 1)[:most]
     return Trouble(kind=name, at=at, until=at + lasts, factor=factor if kind.figured else 1.0, **places)
 
 
@@ -577,7 +580,8 @@
             halls=tuple(_halls(seed, len(fleet.halls), nodes, uneven)), tries=load.whole(spec.tries),
             backoff=wait, heeds=load.real(spec.heeds), most_wait=load.time(spec.most_wait_s, SECOND),
             leaves=load.real(spec.leaves), hint_sigma=load.real(spec.hint_sigma), keys=load.whole(spec.keys),
-            connections=load.whole(spec.connections), notice=load.time(spec.notice_s, SECOND)),
+            connections=load.whole(spec.connections), notice=load.time(spec.notice_s, SECOND),
+            keeps=load.time(spec.keeps_s, SECOND), shuns=spec.shuns),
         over_share_worth=_top(scenario.over_share_worth), sockets=int(_top(fleet.sockets)))
     day = msgspec.structs.replace(day, troubles=tuple(_troubles(scenario, seed, day)))
     troubles.check(day)
