--- a/tests/counted.py
+++ b/tests/counted.py
@@ -6,6 +6,7 @@
 import signal
 import sys
 from collections import Counter
+from socket import socket
 
 from violetsaddle import __main__
 from violetsaddle.net.node import Node
@@ -23,8 +24,8 @@
 start = Node.start
 
 
-def started(node: Node) -> None:
-    start(node)
+def started(node: Node, listener: socket | None = None) -> None:
+    start(node, listener)
     gc.disable()
     signal.signal(signal.SIGUSR2, count)
 
--- a/violetsaddle/net/node.py
+++ b/violetsaddle/net/node.py
@@ -179,6 +179,7 @@
     """Runs a node until its end and gives the program's status; `listener`: see `Node.start`."""
     from twisted.internet import reactor  # the default one: epoll where there is epoll
 
+    gc.enable()  # the program's imports are done
     node = Node(reactor, config, reread, adjust, log)
     observer: Any = node.observe  # its interface is declared in a way that type checkers can't read
     globalLogBeginner.beginLoggingTo([observer], redirectStandardIO=False, discardBuffer=True)
@@ -195,7 +196,6 @@
     gc.collect()
     gc.freeze()
     gc.set_threshold(20_000, 20, 50)
-    gc.enable()
     running.run(installSignalHandlers=False)
     node.counters.show()
     return 0
