--- a/violetsaddle/__main__.py
+++ b/violetsaddle/__main__.py
@@ -2,18 +2,26 @@
 
 from __future__ import annotations
 
+import gc
 import signal
 
 if __name__ == "__main__":
     # Before all else: the imports below take a while, in which either would end the program.
     signal.signal(signal.SIGHUP, signal.SIG_IGN)
     signal.signal(signal.SIGUSR1, signal.SIG_IGN)
+    # What imports make is kept: the collector would only look through it again and again.  `run` has it back.
+    gc.disable()
+    from violetsaddle.net import early, lean
+
+    LISTENER = early.listen()
+    lean.load()
 
 import json
 import os
 import resource
 import sys
 from collections.abc import Callable
+from socket import socket
 from typing import TYPE_CHECKING, Any, TextIO, cast
 
 from violetsaddle import settings
@@ -100,7 +108,8 @@
     return told.limits_for, log.make(told.log, name, cast(TextIO, Outlet(sys.stderr)))
 
 
-def main() -> int:
+def main(listener: socket | None = None) -> int:
+    """Runs a node and gives the program's status; `listener`: listens at its address already."""
     signal.signal(signal.SIGHUP, signal.SIG_IGN)  # until the node listens for it
     try:
         config = read()
@@ -109,7 +118,7 @@
         print(f"violetsaddle: {error}".replace("\n", " "), file=sys.stderr)
         return 2
     try:
-        return run(config, reread, adjust, log)
+        return run(config, reread, adjust, log, listener)
     except BadList as error:
         print(f"violetsaddle: known: {error}".replace("\n", " "), file=sys.stderr)
         return 2
@@ -119,4 +128,4 @@
 
 
 if __name__ == "__main__":
-    sys.exit(main())
+    sys.exit(main(LISTENER))
