--- a/tests/scenario.py
+++ b/tests/scenario.py
@@ -88,7 +88,7 @@
     COMMAND = ("-m", "violetsaddle")
 
     def start(self, settings: dict[str, Any] | None = None, servers: int = 2, version: int = 1,
-              **config: Any) -> None:
+              operator: str = "", **config: Any) -> None:
         self.servers = {f"s-{n}": listener() for n in range(1, servers + 1)}
         self.discovery = listener()
         self.peer, own = datagrams(), datagrams()
@@ -104,8 +104,21 @@
                  "known": self.listing(version, [f"{n}=up" for n in self.servers]),
                  "peer_listen": self.peer_at, "peers": [self.peer_at, address(self.peer)],
                  "settings": {**SETTINGS, **(settings or {})}, **config}
-        self.run_program(json.dumps(table), RELAY_DISCOVERY=table["discovery"])
-        self.table = table
+        self.table, self.told = table, {"RELAY_DISCOVERY": table["discovery"]}
+        if operator:
+            with tempfile.NamedTemporaryFile("w", suffix=".toml", delete=False) as file:
+                file.write(operator)
+            self.addCleanup(os.unlink, file.name)
+            self.told["RELAY_OPERATOR"] = file.name
+        self.addCleanup(self.end)
+        self.again()
+
+    def again(self) -> None:
+        """The program as it was started, after it has ended."""
+        if hasattr(self, "program") and self.program.stderr is not None:
+            self.program.stderr.close()
+        self.lines.clear()
+        self.run_program(json.dumps(self.table), **self.told)
         self.port = int(self.log("listening on")[0].rpartition(":")[2])
 
     def replace(self, **config: Any) -> None:
@@ -137,7 +150,7 @@
     def log(self, *wanted: str) -> list[str]:
         """Reads the program's log up to a line that holds the first text; the others must be in it."""
         assert self.program.stderr is not None
-        seen = []
+        seen = self.seen = list[str]()  # on the way to it
         while line := self.program.stderr.readline().decode():
             seen.append(line.strip())
             if wanted[0] in line:
--- a/tests/test_operator.py
+++ b/tests/test_operator.py
@@ -5,6 +5,7 @@
 import dataclasses
 import io
 import json
+import os
 import re
 import subprocess
 import sys
@@ -73,6 +74,13 @@
         self.refused("[limits]\nedge_first_ms = 299", "limits.edge_first_ms")
         parse("[limits]\nkeep_idle_ms = 3400", "op.toml")
 
+    def test_restarts(self) -> None:
+        self.refused("[restart]\nsnapshot_every_s = 0", "a number from 0.1 to 3600, not 0")
+        self.refused("[restart]\nwarm_from_peers = 1", "restart.warm_from_peers: expected true or false")
+        self.assertFalse(Operator().restart.keeps)
+        for text in ('snapshot = "x"', "warm_from_peers = true"):
+            self.assertTrue(parse("[restart]\n" + text, "op.toml").restart.keeps)
+
     def test_files_that_are_none(self) -> None:
         with tempfile.TemporaryDirectory() as folder:
             for path, wanted in ((folder, "directory"), (folder + "/none", "No such file"),
@@ -249,12 +257,20 @@
         for name, short in COMMANDS.items():
             self.assertRegex("\n".join(shown), rf"\n  {name} +{re.escape(short)}")
 
-    def test_a_node_without_an_operator_file_imports_nothing_for_it(self) -> None:
-        code = ("import sys, violetsaddle.__main__\n"
-                "print([m for m in sys.modules if m.partition('.')[0] in ('msgspec', 'structlog', 'click')"
-                " or m in ('violetsaddle.log', 'violetsaddle.operator')])")
-        out = subprocess.run([sys.executable, "-c", code], capture_output=True, text=True, check=True).stdout
-        self.assertEqual(out, "[]\n")
+    def test_a_node_imports_nothing_for_what_is_off(self) -> None:
+        code = ("import sys, violetsaddle.__main__\n{}\n"
+                "print([m for m in sys.modules if m.partition('.')[0] in ({!r}, 'structlog', 'click')"
+                " or m in ('violetsaddle.net.warmth', {!r})"
+                " or m.startswith(('violetsaddle.decide', 'violetsaddle.store'))])")
+        with tempfile.TemporaryDirectory() as folder:
+            off = written(folder, "off.toml", "")
+            for values, wanted in (
+                    (("", "msgspec", "violetsaddle.operator"), "[]\n"),
+                    (("print(violetsaddle.__main__.operated('n')[2])", "", ""), "None\n[]\n")):
+                out = subprocess.run(
+                    [sys.executable, "-c", code.format(*values)], capture_output=True, text=True, check=True,
+                    env={**os.environ, "RELAY_OPERATOR": off}).stdout
+                self.assertEqual(out, wanted)
 
     def test_subcommands_that_are_not_installed(self) -> None:
         with mock.patch.dict(COMMANDS, {"absent": "Not here."}):
--- /dev/null
+++ b/tests/test_snapshots.py
@@ -0,0 +1,176 @@
+"""Snapshots: every damage is found, every fault of the disk leaves an old one or a new one."""
+
+from __future__ import annotations
+
+import errno
+import os
+import subprocess
+import sys
+import tempfile
+import unittest
+from hashlib import blake2b
+from pathlib import Path
+from typing import Any
+from unittest import mock
+
+from tests.scenario import Scenario
+from violetsaddle.decide.memory import Box, Bucket, Memory
+from violetsaddle.store import snapshots
+from violetsaddle.store.snapshots import Damaged, decode, digest, encode, read, write
+
+UNDER = digest({"a": frozenset("xyz")})
+SMALL = Memory(5, 6, {"pace": 0.5}, {0: 2.0}, {1: 0.5}, [Bucket(None, 1.0)], 1.0, 2.0, {"s": Box(0)}, ["id"])
+LIMITS = "[limits]\nlinger_ms = 10\nkeep_asking_ms = 20\nkeep_idle_ms = 30\n[restart]\nsnapshot = \"{}\"\n"
+WRITER = """
+import os, sys
+from violetsaddle.store import snapshots
+left = int(sys.argv[2])
+def step(name):
+    global left
+    left -= 1
+    if left < 0:
+        os.kill(os.getpid(), 9)
+snapshots.write(sys.argv[1], b"new" * 9, step)
+"""
+
+
+class Snapshots(unittest.TestCase):
+    def test_round_trip_and_digest(self) -> None:
+        self.assertEqual(decode(encode(SMALL, UNDER), UNDER), SMALL)
+        code = ("from violetsaddle.store.snapshots import digest\n"
+                "print(digest({'a': frozenset('xyz')}).hex())")
+        for seed in ("1", "2"):
+            out = subprocess.run([sys.executable, "-c", code], capture_output=True, text=True, check=True,
+                                 env={**os.environ, "PYTHONHASHSEED": seed}).stdout
+            self.assertEqual(out.strip(), UNDER.hex())
+
+    def test_damage_at_every_byte(self) -> None:
+        data = encode(SMALL, UNDER)
+        for at in range(len(data)):
+            for bad in (data[:at], data[:at] + bytes((data[at] ^ 1 << at % 8,)) + data[at + 1:],
+                        data[:at] + b"\0" + data[at:]):
+                with self.assertRaises(Damaged) as caught:
+                    decode(bad, UNDER)
+                self.assertTrue(str(caught.exception).isprintable())
+        self.assertRaisesRegex(Damaged, "other settings", decode, data, digest("other"))
+        with mock.patch.object(snapshots, "VERSION", 2):
+            later = encode(SMALL, UNDER)
+        self.assertRaisesRegex(Damaged, "version 2", decode, later, UNDER)
+        strange = snapshots.HEAD.pack(snapshots.MAGIC, 1, 1, UNDER) + b"\xc0"
+        strange += blake2b(strange, digest_size=16).digest()
+        self.assertRaisesRegex(Damaged, "body", decode, strange, UNDER)
+
+    def test_what_does_not_fit_is_left_out(self) -> None:
+        ids = [f"id-{n}" for n in range(2000)]
+        large = Memory(1, boxes={f"s-{n}": Box(0) for n in range(500)}, ids=ids,
+                       listing={"servers": "x" * 9000})
+        kept = decode(encode(large, UNDER, len(encode(large, UNDER)) - 4000), UNDER)
+        self.assertTrue(100 < len(kept.boxes) < 490 and kept.listing and kept.ids == ids)
+        for most in (1 << 20, 40_000, 30_000, 20_000, 2_000, 300):
+            data = encode(large, UNDER, most)
+            kept = decode(data, UNDER)
+            self.assertLessEqual(len(data), most)
+            self.assertEqual(kept.ids, ids[len(ids) - len(kept.ids):])
+        self.assertLess(len(kept.ids), 100)
+
+    def test_faults_at_each_step(self) -> None:
+        steps: list[str] = []
+        with tempfile.TemporaryDirectory() as folder:
+            path = folder + "/kept"
+            write(path, b"old", steps.append)
+            self.assertEqual(steps, ["open", "write", "written", "synced", "renamed", "done"])
+            for name in steps:
+                write(path, b"old")
+
+                def step(now: str, name: str = name) -> None:
+                    if now == name:
+                        raise OSError(errno.ENOSPC, "full")
+
+                self.assertRaises(OSError, write, path, b"new", step)
+                wanted = b"new" if name in ("renamed", "done") else b"old"
+                self.assertEqual((read(path), os.listdir(folder)), (wanted, ["kept"]))
+            for call in ("open", "write", "fsync", "rename"):
+                write(path, b"old")
+                with mock.patch(f"os.{call}", side_effect=OSError(errno.EROFS, "read-only")):
+                    self.assertRaises(OSError, write, path, b"new")
+                self.assertEqual(read(path), b"old")
+
+    def test_killed_at_each_step(self) -> None:
+        with tempfile.TemporaryDirectory() as folder:
+            path = folder + "/kept"
+            for left in range(7):
+                write(path, b"old")
+                ended = subprocess.run([sys.executable, "-c", WRITER, path, str(left)]).returncode
+                self.assertEqual(ended, -9 if left < 6 else 0)
+                self.assertEqual(read(path), b"new" * 9 if left >= 4 else b"old")
+
+    def test_files_that_are_none(self) -> None:
+        with tempfile.TemporaryDirectory() as folder:
+            self.assertIsNone(read(folder + "/none"))
+            os.mkfifo(folder + "/pipe")
+            self.assertEqual(read(folder + "/pipe"), b"")
+            Path(folder, "long").write_bytes(b"x" * 11)
+            for path in (folder, folder + "/long", folder + "/\0"):
+                self.assertRaises(Damaged, read, path, 10)
+
+
+class Program(Scenario):
+    def restarting(self, path: str, **more: Any) -> None:
+        self.start(operator=LIMITS.format(path), **more)
+
+    def test_an_id_that_ran_before_a_restart_is_refused_after_it(self) -> None:
+        with tempfile.TemporaryDirectory() as folder:
+            self.restarting(folder + "/kept")
+            self.play("""
+                c send job a quote
+                s expect X-Txn: a
+                s send 202
+                s call+ a done result=first
+                c expect 200 | first
+                node send TERM
+                node expect exit 0
+            """)
+            self.again()
+            self.assertRegex(self.seen[0], "snapshot: .* s old, believed in .* for 2 servers .*, 1 ids$")
+            self.play("""
+                c9 send job a quote
+                c9 expect 400 | the id is in use
+                c9 send job b quote
+                s expect X-Txn: b
+                s send 202
+                s call b done result=second
+                c9 expect 200 | second
+            """)
+
+    def test_a_list_that_is_newer_than_the_known_one_is_used(self) -> None:
+        with tempfile.TemporaryDirectory() as folder:
+            self.restarting(folder + "/kept", settings={"discovery": "ask"})
+            self.play("""
+                d expect GET /discovery/hosts
+                d send list 2 s-2=draining
+                d expect after=2
+                node send TERM
+                node expect exit 0
+            """)
+            self.again()
+            self.assertRegex(self.seen[0], "1 ids, list 2$|0 ids, list 2$")
+            self.play("""
+                c9 send job b quote
+                s expect X-Txn: b
+                s send 503 | X-Turned-Away: 1
+            """)
+            self.assertEqual(self.line("s").name, "s-1")
+
+    def test_damage_and_a_disk_that_fails_are_a_line_each(self) -> None:
+        with tempfile.TemporaryDirectory() as folder:
+            Path(folder, "kept").write_bytes(b"x" * 99)
+            self.restarting(folder + "/kept")
+            self.assertEqual(self.seen[0], "n1: snapshot: not used: it is no snapshot")
+            self.play("node send TERM\nnode expect exit 0")
+            self.again()
+            self.assertIn("believed in", self.seen[0])
+        self.play("node send TERM\nnode expect snapshot: can't be written: No such file\nnode expect exit 0")
+
+
+if __name__ == "__main__":
+    unittest.main()
--- a/violetsaddle/__main__.py
+++ b/violetsaddle/__main__.py
@@ -20,7 +20,7 @@
 from violetsaddle.interface import SettingsError
 from violetsaddle.net.discovery import BadList, address
 from violetsaddle.net.limits import Limits
-from violetsaddle.net.node import Config, ConfigError, run, unchanged
+from violetsaddle.net.node import Config, ConfigError, Keeper, Node, run, unchanged
 
 if TYPE_CHECKING:
     from violetsaddle.log import Log
@@ -86,29 +86,34 @@
         raise ConfigError(str(error)) from None
 
 
-def operated(name: str) -> tuple[Callable[[Limits], Limits], Log | None]:
+def operated(name: str) -> tuple[Callable[[Limits], Limits], Log | None, Callable[[Node], Keeper] | None]:
     """What the operator file changes; where none is named, nothing it needs is imported."""
     path = os.environ.get("RELAY_OPERATOR")
     if not path:
-        return unchanged, None
+        return unchanged, None, None
     try:
         from violetsaddle import log, operator
     except ModuleNotFoundError as error:
         raise ConfigError(f"RELAY_OPERATOR: needs the package {error.name}, which is not installed") from None
     told = operator.load(path)
-    return told.limits_for, log.make(told.log, name, sys.stderr)
+    keep = None
+    if told.restart.keeps:
+        from violetsaddle.net import warmth
+
+        keep = warmth.keeper(told.restart)
+    return told.limits_for, log.make(told.log, name, sys.stderr), keep
 
 
 def main() -> int:
     signal.signal(signal.SIGHUP, signal.SIG_IGN)  # until the node listens for it
     try:
         config = read()
-        adjust, log = operated(config.name)
+        adjust, log, keep = operated(config.name)
     except (ConfigError, SettingsError) as error:
         print(f"violetsaddle: {error}".replace("\n", " "), file=sys.stderr)
         return 2
     try:
-        return run(config, reread, adjust, log)
+        return run(config, reread, adjust, log, keep)
     except BadList as error:
         print(f"violetsaddle: known: {error}".replace("\n", " "), file=sys.stderr)
         return 2
--- a/violetsaddle/lab/score.py
+++ b/violetsaddle/lab/score.py
@@ -23,7 +23,7 @@
 from violetsaddle.world.day import MS, SECOND, Day, Item
 
 WHOLE, WINDOW, CLASS, TENANT = 0.45, 0.35, 0.10, 0.10  # weights of the goal
-WINDOW_FOR = 10  # seconds
+WINDOW_FOR = 10  # seconds, of the worst window and after a start
 LONGEST = 3600 * SECOND
 PERCENTILES = {"p50_ms": 50.0, "p90_ms": 90.0, "p99_ms": 99.0, "p999_ms": 99.9}
 FLOOR = "random"  # the yardstick that a day is scored from
@@ -72,6 +72,8 @@
     probes_per_try: float
     cross_hall: float  # share of schedulings that left their node's hall
     wasted: float  # work done for nothing, as a share of the work that clients asked for
+    after_starts: float = 1.0  # share served of the worth asked for in halls within 10 s of starts there
+    starts: int = 0  # of nodes, those that the day began with left out
 
 
 class Fate(NamedTuple):
@@ -163,7 +165,8 @@
         everything.goodput, window, window_at, worst_class, worst_tenant, shares, classes, tenants,
         _latencies(counted), len(cls), len(tries), endings.count(REFUSED),
         endings.count(FAILED) + endings.count(LOST), len(runs) / max(1, len(tries)),
-        book.probes / max(1, len(tries)), crossed / max(1, len(runs)), _wasted(counted))
+        book.probes / max(1, len(tries)), crossed / max(1, len(runs)), _wasted(counted),
+        *_after_starts(counted))
 
 
 def _window(counted: _Counted) -> tuple[float, int]:
@@ -178,6 +181,18 @@
     return float(share[worst]), worst
 
 
+def _after_starts(counted: _Counted) -> tuple[float, int]:
+    """The share served of what was asked for in a node's hall within 10 s of its listening again, and how
+    many such starts there were.  An item counts once however many starts it follows."""
+    day = counted.book.day
+    starts = [(day.nodes[node], life.at) for node, lives in counted.book.nodes.items()
+              for life in lives if life.what == "ready" and life.life > 0]
+    chosen = np.array([
+        any(hall == item.hall and 0 <= item.at - at < WINDOW_FOR * SECOND for hall, at in starts)
+        for item in counted.items], dtype=np.bool_)
+    return counted.part(chosen).goodput, len(starts)
+
+
 def _latencies(counted: _Counted) -> dict[str, Latency]:
     day = counted.book.day
     histograms = {name: HdrHistogram(1, LONGEST, 3) for name in (*(c.name for c in day.classes), "all")}
--- a/violetsaddle/lab/sim/node.py
+++ b/violetsaddle/lab/sim/node.py
@@ -106,6 +106,7 @@
     config: Callable[[int, int, int], Config]  # of a node, in its life so and so, after so many moves
     lives: Callable[[int, int], None]  # told of each new life
     adjust: Callable[[Limits], Limits] = unchanged  # an operator's
+    restart: Any = None  # the `Restart` of an operator file that keeps something
     log: list[str] = field(default_factory=list)
 
     @property
@@ -143,6 +144,7 @@
         self._ground, self._number, self._host, self._clock = ground, number, host, clock
         self._life, self._move, self._holds, self._pauses = -1, 0, 0, 0
         self._closed = False  # the day is over
+        self.disk: Any = None  # of its machine, where something is kept
         self.process: SimReactor | None = None
         self.node: Node | None = None
         self._tap: Tap | None = None
@@ -182,7 +184,7 @@
             node = self.node = Node(
                 process, ground.config(number, self._life, self._move),
                 lambda: ground.config(number, self._life, self._move), ground.adjust, NodeLog(self),
-                self._clock, decider)
+                self._clock, decider, **self._keep(process))
             self._tap = taps[0]
             node.start()
         except Exception as error:
@@ -192,6 +194,18 @@
             return
         self._note("ready")
 
+    def _keep(self, process: SimReactor) -> dict[str, Any]:
+        """What keeps its memory: a node of another checkout may know of no such thing."""
+        told = self._ground.restart
+        if told is None:
+            return {}
+        from violetsaddle.lab.sim.disk import SimDisk, later
+        from violetsaddle.net.warmth import Warmth
+
+        if self.disk is None and told.snapshot:
+            self.disk = SimDisk()
+        return {"keep": lambda node: Warmth(node, told, self.disk, later(process))}
+
     def say(self, text: str) -> None:
         self._ground.say(f"n{self._number}: {text}")
 
@@ -263,7 +277,8 @@
         self._ground.loop.call_at(trouble.until, self._release)
 
     def vanish(self, trouble: Trouble) -> None:
-        """Its machine is gone, without a word to anybody."""
+        """Its machine is gone, without a word to anybody; the next one has an empty disk."""
+        self.disk = None
         self.kill(trouble, "vanish")
 
     def pause(self, trouble: Trouble) -> None:
@@ -305,7 +320,7 @@
         Allowed are: connections on which boxes call back or which wait for the next scheduling, unless it is
         alone; then only those whose other end has gone without a word that could come through; a deadline for
         each connection; the wakes that the module has asked for; two deadlines for each probe that is out;
-        four for the watch."""
+        four for the watch; one for the next snapshot."""
         node, tap, process = self.node, self._tap, self.process
         if node is None or tap is None or process is None:
             return
@@ -317,7 +332,7 @@
         allowed = {
             "edge connections": calls_back, "server connections": held["server connections"],
             "deadlines": held["edge connections"] + held["server connections"]
-            + tap.awaited() + 2 * probes + 4,
+            + tap.awaited() + 2 * probes + 4 + (self._ground.restart is not None),
             "sockets": held["edge connections"] + held["server connections"] + held["dials"] + 1,
             "timers": 1, "dials": probes}
         if alone:
--- a/violetsaddle/lab/sim/stage.py
+++ b/violetsaddle/lab/sim/stage.py
@@ -101,8 +101,9 @@
         reactor = SimReactor(self.network, crowd)
         self._world: list[Party] = [boxes, told]
         self._load: list[Party] = [CrowdParty(self._scene(reactor)), RudeParty(self._scene(reactor))]
+        adjust, restart = self._operated()
         ground = Ground(day, self.loop, self.ledger.add, deciders(day, boxes)[options.decider], self._config,
-                        told.life, self._adjust())
+                        told.life, adjust, restart)
         self.log, self._grace = ground.log, ground.grace
         self.nodes = [
             SimNode(ground, n, host, NodeClock(
@@ -113,13 +114,16 @@
         reactor.on_fault = self._failed
         return Scene(self.day, reactor, lambda: self.loop.now, self.ledger, self._places, links=True)
 
-    def _adjust(self) -> Callable[[Limits], Limits]:
-        """The limits of the operator file; its log is not played."""
+    def _operated(self) -> tuple[Callable[[Limits], Limits], Any]:
+        """The limits of the operator file, and its section on restarts if something is kept.  Its log is not
+        played; any path of a snapshot stands for a disk in memory."""
         if not self._options.operator:
-            return unchanged
+            return unchanged, None
         from violetsaddle import operator
 
-        return operator.load(self._options.operator).limits_for
+        told = operator.load(self._options.operator)
+        restart = getattr(told, "restart", None)  # another checkout's may have none
+        return told.limits_for, restart if restart is not None and restart.keeps else None
 
     def _config(self, node: int, life: int, move: int) -> Config:
         from violetsaddle.lab.parties.roster import listing
--- a/violetsaddle/net/discovery.py
+++ b/violetsaddle/net/discovery.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import json
-from collections.abc import Sequence
+from collections.abc import Callable, Sequence
 from typing import Any
 
 from twisted.internet.defer import CancelledError, Deferred
@@ -50,6 +50,7 @@
         self._round = 0  # a watch that was moved away must not speak for the present one
         self._stopped = False
         self._doubt = False  # the last call failed
+        self.seen: Callable[[Any, str], object] | None = None  # hears of each list taken in, and from where
 
     def take(self, told: Any, kind: str | None = None) -> None:
         """Hands a list on; raises `BadList`, and then nothing of it counts."""
@@ -69,6 +70,8 @@
                 raise
             raise BadList(f"{type(error).__name__}: {error}") from None
         self._version = version
+        if self.seen is not None:
+            self.seen(told, f"{self._host}:{self._port}")
         self._servers.listed(addresses, gone, whole)
         self._flows.listed(kind or (api.SNAPSHOT if whole else api.DIFF), entries)
 
--- a/violetsaddle/net/flows.py
+++ b/violetsaddle/net/flows.py
@@ -8,7 +8,7 @@
 import enum
 from collections import OrderedDict, deque
 from collections.abc import Callable, Sequence
-from typing import Any, Protocol, TypeAlias
+from typing import Any, Protocol, TypeAlias, TypeVar
 
 from twisted.internet.defer import Deferred
 
@@ -19,6 +19,8 @@
 from violetsaddle.net.slots import SlotTable
 from violetsaddle.policy import Balancer
 
+T = TypeVar("T")
+
 
 class Unfit(Exception):
     """A flow that cannot be taken in; the text says why."""
@@ -212,6 +214,22 @@
     def heard(self, peer: int, data: bytes) -> None:
         self._tell(lambda: self._balancer.heard(self._deadlines.now(), peer, data))
 
+    # What outlives the program.
+
+    def consult(self, what: Callable[[Any, int], T]) -> T:
+        """Gives the module and the time to something that is no event and sends nothing."""
+        return what(self._balancer, self._deadlines.now())
+
+    def ids(self) -> list[str]:
+        """Those that must not be taken again: of the flows that are over, and of those that are open."""
+        return [*self._over, *self._by_job][-self._limits.remembered:]
+
+    def remember(self, ids: Sequence[str]) -> None:
+        """Ids of an earlier life of the program, the latest last."""
+        for job in ids[-self._limits.remembered:]:
+            if len(job) <= self._limits.identity:
+                self._over[job] = None
+
     def find(self, job: str, name: str) -> Scheduling | None:
         """The scheduling that a real server, known by its name, may still speak of."""
         flow = self._table.get(self._by_job.get(job, -1))
@@ -288,7 +306,7 @@
             self._table.free(flow.number)
             del self._by_job[flow.job]
             self._over[flow.job] = None
-            if len(self._over) > self._limits.remembered:
+            while len(self._over) > self._limits.remembered:
                 self._over.popitem(last=False)
             if not len(self._table) and self.when_idle is not None:
                 self.when_idle()
--- a/violetsaddle/net/node.py
+++ b/violetsaddle/net/node.py
@@ -6,7 +6,7 @@
 import signal
 from collections.abc import Callable, Mapping, Sequence
 from dataclasses import dataclass
-from typing import Any
+from typing import Any, Protocol
 
 from twisted.internet.error import CannotListenError
 from twisted.logger import LogEvent, globalLogBeginner
@@ -52,13 +52,28 @@
     return limits
 
 
+class Keeper(Protocol):
+    """Keeps what the node has learned, and gives it back at the next start."""
+
+    def recall(self) -> None:
+        """The known list has been taken in; nothing listens yet."""
+
+    def meet(self, peers: Peers) -> None:
+        """Peers can be heard and told."""
+
+    def close(self, done: Callable[[], None]) -> None:
+        """The last flow is over; `done` is called once nothing is left to do."""
+
+
 class Node:
     def __init__(self, reactor: Reactor, config: Config, reread: Callable[[], Config],
                  adjust: Callable[[Limits], Limits] = unchanged, log: Sink | None = None,
-                 clock: Clock | None = None, decider: Decider = Balancer) -> None:
-        """`adjust` and `log` are what an operator file asks for; without a clock it is the machine's."""
-        clock = clock or SystemClock()
-        self._reactor, self._config, self._reread = reactor, config, reread
+                 clock: Clock | None = None, decider: Decider = Balancer,
+                 keep: Callable[[Node], Keeper] | None = None) -> None:
+        """`adjust`, `log` and `keep` are what an operator file asks for; without a clock it is the
+        machine's."""
+        clock = self.clock = clock or SystemClock()
+        self.reactor, self.config, self._reread = reactor, config, reread
         self.limits = adjust(Limits.of(config.told, config.sockets))
         self.counters = Counters(config.name, log)
         self.deadlines = Deadlines(reactor, clock, self.counters.fault)
@@ -76,18 +91,24 @@
         self.counters.held = self.held
         self._port: Any = None  # None: not listening
         self._stopping = self._ended = False
+        self._saving = False  # the keeper has still something to do
+        self.keeper = keep(self) if keep is not None else None
 
     def start(self) -> None:
         """Listens; raises `CannotListenError`, or `BadList` where the known list can't be read."""
-        if self._config.known:
-            self.discovery.take(self._config.known, api.DISK)
-        host, port = self._config.listen
-        if self._config.peer_listen is not None and self._config.told.may_tell:
-            peers = Peers(self._reactor, self.limits, self.counters, self.flows, self._config.peers,
-                          self._config.peers_all)
-            peers.listen(self._config.peer_listen)
+        if self.config.known:
+            self.discovery.take(self.config.known, api.DISK)
+        if self.keeper is not None:
+            self.keeper.recall()
+        host, port = self.config.listen
+        if self.config.peer_listen is not None and self.config.told.may_tell:
+            peers = Peers(self.reactor, self.limits, self.counters, self.flows, self.config.peers,
+                          self.config.peers_all)
+            peers.listen(self.config.peer_listen)
             self.flows.teller = peers
-        self._port = self._reactor.listenTCP(port, self.edge, self.limits.backlog, host)
+            if self.keeper is not None:
+                self.keeper.meet(peers)
+        self._port = self.reactor.listenTCP(port, self.edge, self.limits.backlog, host)
         self.edge.hold = self._hold
         at = self._port.getHost()
         self.counters.say(f"listening on {at.host}:{at.port}")
@@ -148,16 +169,26 @@
         if self._port is not None:
             self._port.stopListening()
             self._port = None
-        self.edge.when_empty = self._end
+        self.edge.when_empty = self._done
         self.edge.close_all()
         self.deadlines.after(self.limits.farewell, self._end)
-        if not len(self.edge.shared.connections):
+        if self.keeper is not None:
+            self._saving = True
+            self.keeper.close(self._saved)
+        self._done()
+
+    def _saved(self) -> None:
+        self._saving = False
+        self._done()
+
+    def _done(self) -> None:
+        if not self._saving and not len(self.edge.shared.connections):
             self._end()
 
     def _end(self) -> None:
         if not self._ended:
             self._ended = True
-            self._reactor.callLater(0, self._reactor.stop)
+            self.reactor.callLater(0, self.reactor.stop)
 
     def observe(self, event: LogEvent) -> None:
         """What Twisted caught for us must be seen: it would pass in silence."""
@@ -167,10 +198,10 @@
 
 
 def run(config: Config, reread: Callable[[], Config], adjust: Callable[[Limits], Limits] = unchanged,
-        log: Sink | None = None) -> int:
+        log: Sink | None = None, keep: Callable[[Node], Keeper] | None = None) -> int:
     from twisted.internet import reactor  # the default one: epoll where there is epoll
 
-    node = Node(reactor, config, reread, adjust, log)
+    node = Node(reactor, config, reread, adjust, log, keep=keep)
     observer: Any = node.observe  # its interface is declared in a way that type checkers can't read
     globalLogBeginner.beginLoggingTo([observer], redirectStandardIO=False, discardBuffer=True)
     running: Reactor = reactor
--- a/violetsaddle/net/peers.py
+++ b/violetsaddle/net/peers.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Sequence
+from collections.abc import Callable, Sequence
 
 from twisted.internet.error import CannotListenError
 from twisted.internet.protocol import DatagramProtocol
@@ -22,6 +22,8 @@
     def __init__(self, reactor: Reactor, limits: Limits, counters: Counters, flows: Flows,
                  peers: Sequence[tuple[str, int]], everyone: tuple[str, int] | None) -> None:
         self._reactor, self._limits, self._counters, self._flows = reactor, limits, counters, flows
+        self._addresses = list(peers)
+        self.aside: Callable[[int, bytes], bool] | None = None  # takes a datagram that is not the module's
         self._numbers = {address: number for number, address in enumerate(peers)}
         self._to = [everyone] if everyone is not None else list(peers)
 
@@ -38,14 +40,24 @@
             self._counters.add("bad_datagrams")
             return
         self._counters.add("heard")
-        self._flows.heard(number, data)
+        if self.aside is None or not self.aside(number, data):
+            self._flows.heard(number, data)
 
     def tell(self, data: bytes) -> None:
         if self.transport is None or len(data) > self._limits.datagram:
             return
         self._counters.add("told")
         for address in self._to:
-            try:
-                self.transport.write(data, address)
-            except OSError:
-                self._counters.add("untold")  # no room in the kernel, or no way there: as good as lost
+            self._send(data, address)
+
+    def say(self, number: int, data: bytes) -> None:
+        """To one peer alone."""
+        fits = number < len(self._addresses) and len(data) <= self._limits.datagram
+        if self.transport is not None and fits:
+            self._send(data, self._addresses[number])
+
+    def _send(self, data: bytes, address: tuple[str, int]) -> None:
+        try:
+            self.transport.write(data, address)
+        except OSError:
+            self._counters.add("untold")  # no room in the kernel, or no way there: as good as lost
