--- a/tests/test_snapshots.py
+++ b/tests/test_snapshots.py
@@ -8,13 +8,20 @@
 import sys
 import tempfile
 import unittest
+from collections.abc import Callable
 from hashlib import blake2b
 from pathlib import Path
-from typing import Any
+from typing import Any, cast
 from unittest import mock
 
+from twisted.internet.testing import MemoryReactorClock
+
 from tests.scenario import Scenario
+from violetsaddle import RequestClass, Settings
 from violetsaddle.decide.memory import Box, Bucket, Memory
+from violetsaddle.net.node import Config, Node
+from violetsaddle.net.warmth import Warmth
+from violetsaddle.operator import Restart
 from violetsaddle.store import snapshots
 from violetsaddle.store.snapshots import Damaged, decode, digest, encode, read, write
 
@@ -114,6 +121,89 @@
                 self.assertRaises(Damaged, read, path, 10)
 
 
+class Slow:
+    """A disk that is done when the test says so, and the thread beside it."""
+
+    def __init__(self) -> None:
+        self.out: list[tuple[Callable[[], object], Callable[[Exception | None], None]]] = []
+        self.held: bytes | None = None
+
+    def read(self) -> bytes | None:
+        return self.held
+
+    def write(self, data: bytes) -> None:
+        self.held = data
+
+    def run(self, work: Callable[[], object], done: Callable[[Exception | None], None]) -> None:
+        self.out.append((work, done))
+
+    def finish(self, error: Exception | None = None) -> None:
+        work, done = self.out.pop()
+        if error is None:
+            work()
+        done(error)
+
+
+class Wiring(unittest.TestCase):
+    def setUp(self) -> None:
+        self.disk, self.reactor, self.lines = Slow(), cast(Any, MemoryReactorClock)(), list[str]()
+        self.node = self.make()
+
+    def make(self) -> Node:
+        settings = Settings((RequestClass(1, 1),))
+        config = Config("n1", ("127.0.0.1", 0), ("127.0.0.1", 9), 1, 100, None, settings, {}, "a", (), None,
+                        (), None, (), ())
+        told = Restart(snapshot="x", snapshot_every_s=1.0)
+        clock = mock.Mock(monotonic=lambda: int(self.reactor.seconds() * 1e6),
+                          unix=lambda: 10**15 + int(self.reactor.seconds() * 1e6))
+        node = Node(self.reactor, config, lambda: config, clock=clock,
+                    keep=lambda node: Warmth(node, told, self.disk, self.disk.run))
+        said: Any = self.lines.append
+        node.counters.say = said  # type: ignore[method-assign]
+        assert node.keeper is not None
+        node.keeper.recall()
+        return node
+
+    def later(self, seconds: float) -> None:
+        for _ in range(round(seconds * 10)):
+            self.reactor.advance(0.1)
+
+    def test_one_write_at_a_time_and_failures_are_said_once(self) -> None:
+        self.later(3.5)
+        self.assertEqual((len(self.disk.out), self.node.counters.get("snapshots_slow")), (1, 2))
+        for _ in range(3):
+            self.disk.finish(OSError(28, "No space left on device"))
+            self.later(1)
+        self.disk.finish()
+        said = [line for line in self.lines if "written" in line]
+        self.assertEqual(said, ["snapshot: can't be written: No space left on device (tried again each 1 s)",
+                                "snapshot: written again"])
+        self.assertEqual(self.node.counters.get("snapshots_failed"), 3)
+
+    def test_the_end_waits_for_the_last_write(self) -> None:
+        keeper: Any = self.node.keeper
+        self.later(1.5)
+        done: list[bool] = []
+        keeper.close(lambda: done.append(True))
+        self.node.flows.remember(["late"])
+        self.disk.finish()
+        self.assertFalse(done)  # that one was made before the last flow was over
+        self.disk.finish()
+        self.assertEqual((done, self.disk.out), ([True], []))
+        self.assertEqual(self.make().flows.ids(), ["late"])
+
+    def test_a_file_that_was_handed_over_is_left_alone(self) -> None:
+        keeper: Any = self.node.keeper
+        data = keeper.snapshot()
+        keeper.leave()
+        done: list[bool] = []
+        keeper.close(lambda: done.append(True))
+        self.later(3)
+        self.assertEqual((done, self.disk.out), ([True], []))
+        keeper.recall(data)
+        self.assertIn("believed in", self.lines[-1])
+
+
 class Program(Scenario):
     def restarting(self, path: str, **more: Any) -> None:
         self.start(operator=LIMITS.format(path), **more)
--- a/violetsaddle/decide/warmth.py
+++ b/violetsaddle/decide/warmth.py
@@ -13,9 +13,8 @@
 
 import math
 from collections import Counter, OrderedDict
-from collections.abc import Iterator, Sequence
+from collections.abc import Iterable, Iterator, Sequence
 from random import Random
-from statistics import median_low
 from struct import Struct, error
 from typing import Any, NamedTuple
 
@@ -276,6 +275,12 @@
     believe_box(balancer, worker, fair, now, age, False, OTHERS)
 
 
+def median_low(values: Iterable[float]) -> float:
+    """The median; of two in the middle the lower.  The library's own would cost a node a megabyte."""
+    ordered = sorted(values)
+    return ordered[(len(ordered) - 1) // 2]
+
+
 def _middle(heard: Sequence[Heard]) -> Memory:
     whole = Memory(0)
     for name in FLEET:
--- a/violetsaddle/net/warmth.py
+++ b/violetsaddle/net/warmth.py
@@ -195,6 +195,10 @@
         if self._closed:
             self._finish()
 
+    def leave(self) -> None:
+        """A successor goes on with what is known: from now on the file is its own."""
+        self._closed = self._final = True
+
     def close(self, done: Callable[[], None]) -> None:
         """Writes the last one, once the one that is being written is through."""
         self._closed, self._done = True, done
