--- a/benchmarks/restarts.py
+++ b/benchmarks/restarts.py
@@ -12,7 +12,7 @@
 import sys
 from collections import defaultdict
 from collections.abc import Callable, Iterator, Sequence
-from concurrent.futures import ProcessPoolExecutor
+from multiprocessing import get_context
 from typing import NamedTuple
 
 import numpy as np
@@ -159,10 +159,13 @@
     sides = {COLD: "", **dict(word.split("=", 1) for word in told.kept)}
     seeds = range(told.first, told.first + told.seeds)
     jobs = [(told.scenario, seed, file, told.nodes, told.boxes, told.seconds)
-            for file in sides.values() for seed in seeds]
-    with ProcessPoolExecutor(told.processes, max_tasks_per_child=8) as pool:
-        played = list(pool.map(day, jobs))
-    kept = {name: played[at * told.seeds:(at + 1) * told.seeds] for at, name in enumerate(sides)}
+            for seed in seeds for file in sides.values()]
+    played = []
+    with get_context("spawn").Pool(told.processes, maxtasksperchild=4) as pool:
+        for number, one in enumerate(pool.imap(day, jobs)):
+            played.append(one)
+            print(f"{number + 1} of {len(jobs)}", end="\r", file=sys.stderr, flush=True)
+    kept = {name: played[at::len(sides)] for at, name in enumerate(sides)}
     report(kept, print)
     if told.json:
         with open(told.json, "w") as file:
