Let a node take listening sockets from elsewhere, pause, drain and pass callbacks on

Need: for an upgrade without loss two processes of one node stand beside each other for a while.

Change: Node.adopt takes sockets that listen already; pause, resume and drain stop and start what comes; Flows knows ids that are open elsewhere and tells of its own; an edge connection can pass a callback on and answer later; Discovery keeps the list it holds where somebody wants it. All of it unused so far: a node does as before.

--- a/violetsaddle/net/discovery.py
+++ b/violetsaddle/net/discovery.py
@@ -50,6 +50,7 @@
         self._round = 0  # a watch that was moved away must not speak for the present one
         self._stopped = False
         self._doubt = False  # the last call failed
+        self.kept: dict[str, Any] | None = None  # the entries of the list held, where somebody wants them
 
     def take(self, told: Any, kind: str | None = None) -> None:
         """Hands a list on; raises `BadList`, and then nothing of it counts."""
@@ -69,9 +70,25 @@
                 raise
             raise BadList(f"{type(error).__name__}: {error}") from None
         self._version = version
+        if self.kept is not None:
+            self._keep(items, whole)
         self._servers.listed(addresses, gone, whole)
         self._flows.listed(kind or (api.SNAPSHOT if whole else api.DIFF), entries)
 
+    def _keep(self, items: Sequence[dict[str, Any]], whole: bool) -> None:
+        kept = self.kept = {} if whole or self.kept is None else self.kept
+        for item in items:
+            if item.get("state") == "removed":
+                kept.pop(item["id"], None)
+            else:
+                kept[item["id"]] = item
+
+    def listing(self) -> dict[str, Any] | None:
+        """The list held, as discovery would give it; None where none is, or nobody wanted it kept."""
+        if self._version is None or self.kept is None:
+            return None
+        return {"version": self._version, "full": True, "servers": list(self.kept.values())}
+
     def _entry(self, item: dict[str, Any]) -> api.Entry:
         name, state = item["id"], STATES[item.get("state", "up")]
         if not isinstance(name, str) or not name:
--- a/violetsaddle/net/edge.py
+++ b/violetsaddle/net/edge.py
@@ -8,6 +8,7 @@
 from collections.abc import Callable, Sequence
 from dataclasses import dataclass, field
 from hashlib import blake2b
+from typing import Any
 from urllib.parse import parse_qsl
 
 from twisted.internet.interfaces import IAddress
@@ -93,6 +94,40 @@
     return None
 
 
+def called(body: bytes) -> dict[str, Any]:
+    """A real server's callback; raises `ValueError` where it is none."""
+    try:
+        call: Any = json.loads(body)
+        job, name, state = call["id"], call["from"], call["state"]
+    except (ValueError, KeyError, TypeError, RecursionError) as error:
+        raise ValueError("not a callback") from error
+    if not (isinstance(call, dict) and all(isinstance(text, str) for text in (job, name, state))):
+        raise ValueError("not a callback")
+    return call
+
+
+def take_call(shared: Shared, call: dict[str, Any]) -> None:
+    """What a real server tells of a scheduling; its reply is out already."""
+    scheduling, state = shared.flows.find(call["id"], call["from"]), call["state"]
+    result: Any = call.get("result")
+    if scheduling is None:
+        shared.counters.add("callbacks_unmatched")
+    elif state == "started":
+        shared.flows.noted(scheduling, api.STARTED, 0.0)
+    elif state == "running":
+        share = call.get("share")
+        if isinstance(share, (int, float)) and 0 <= share <= 1:
+            shared.flows.noted(scheduling, api.PROGRESS, float(share))
+    elif state in STATES:
+        outcome = STATES[state]
+        if outcome == api.OK and not isinstance(result, str):
+            outcome = api.ERROR  # it ran, but there is nothing of its own to pass on
+        shared.flows.ended(scheduling, outcome, shared.report(call.get("load")),
+                           result.encode("utf-8", "surrogatepass") if outcome == api.OK else None)
+    else:
+        shared.counters.add("bad_callbacks")
+
+
 class EdgeConnection(Protocol):
     """One client's (or calling real server's) connection; it carries one request at a time."""
 
@@ -122,15 +157,15 @@
     @property
     def silent(self) -> bool:
         """Nothing has come, nor waits to be read: a request may lie there that we were too busy to see."""
-        if not self._first or self._parser.held or self._closing:
-            return False
+        return self._first and not self._parser.held and not self._closing and not self._unread()
+
+    def _unread(self) -> bool:
+        """Whether something lies in the kernel that was not read yet."""
         try:
             handle: socket.socket = self.transport.getHandle()
-            return not handle.recv(1, socket.MSG_PEEK | socket.MSG_DONTWAIT)
-        except BlockingIOError:
-            return True
+            return bool(handle.recv(1, socket.MSG_PEEK | socket.MSG_DONTWAIT))
         except OSError:
-            return True  # reset: nothing more comes
+            return False  # nothing there, or reset: nothing more comes
 
     def gives_way(self, now: int) -> tuple[int, int] | None:
         """Its place among those that make room at the limit, the lowest first; None: not to be closed."""
@@ -204,6 +239,11 @@
         if self.idle or (unread_too and not self._awaited):
             self.end()
 
+    def close_unused(self) -> None:
+        """Closes if it is idle.  One on which nothing has come yet is about to ask: it has its time."""
+        if self.idle and not self._first and not self._unread():
+            self.end()
+
     def dataReceived(self, data: bytes, fresh: bool = False) -> None:
         if self._closing:
             return
@@ -303,36 +343,22 @@
 
     def _call(self, message: http.Message) -> None:
         """A real server tells what becomes of a scheduling."""
+        body = bytes(message.body)
         try:
-            call = json.loads(bytes(message.body))
-            job, name, state = call["id"], call["from"], call["state"]
-            if not (isinstance(job, str) and isinstance(name, str) and isinstance(state, str)):
-                raise TypeError
-        except (ValueError, KeyError, TypeError, RecursionError):
+            call = called(body)
+        except ValueError:
             self._shared.counters.add("bad_callbacks")
             self._answer(400, b"not a callback")
             return
         self._shared.counters.add("callbacks")
+        if self._home.pass_on is not None and not self._shared.flows.holds(call["id"]):
+            self._awaited = True
+            self._shared.deadlines.drop(self._due)
+            self._home.pass_on(body, self._final)
+            return
         # First the reply: the real server must not call again for what takes us time.
         self._answer(204)
-        scheduling = self._shared.flows.find(job, name)
-        if scheduling is None:
-            self._shared.counters.add("callbacks_unmatched")
-        elif state == "started":
-            self._shared.flows.noted(scheduling, api.STARTED, 0.0)
-        elif state == "running":
-            share = call.get("share")
-            if isinstance(share, (int, float)) and 0 <= share <= 1:
-                self._shared.flows.noted(scheduling, api.PROGRESS, float(share))
-        elif state in STATES:
-            outcome, result = STATES[state], call.get("result")
-            if outcome == api.OK and not isinstance(result, str):
-                outcome = api.ERROR  # it ran, but there is nothing of its own to pass on
-            self._shared.flows.ended(
-                scheduling, outcome, self._shared.report(call.get("load")),
-                result.encode("utf-8", "surrogatepass") if outcome == api.OK else None)
-        else:
-            self._shared.counters.add("bad_callbacks")
+        take_call(self._shared, call)
 
     # The final answers.
 
@@ -378,6 +404,9 @@
         self.hold: Callable[[bool], None] = lambda held: None  # stops and resumes accepting
         self.held = False  # at the limit and none idle: the next answer given ends its connection
         self.when_empty: Callable[[], None] | None = None
+        # Where two processes of this node serve at once: takes a callback on a flow that is not open here,
+        # and what to give the status to that the other one answers.
+        self.pass_on: Callable[[bytes, Callable[[int], None]], None] | None = None
 
     def buildProtocol(self, addr: IAddress | None) -> EdgeConnection:
         connections = self.shared.connections
@@ -407,6 +436,17 @@
             if not connection.calls_back:
                 connection.close_next()
 
+    def hand_over(self) -> None:
+        """Another process takes new connections: each ends with its next answer.  Real servers come back to
+        the other one."""
+        self.closing = True
+        for connection in self.shared.connections:
+            connection.close_next()
+
+    def close_unused(self) -> None:
+        for connection in self.shared.connections:
+            connection.close_unused()
+
     def close_soon(self) -> None:
         """Clients' connections close when idle; real servers still need theirs."""
         self.closing = True
--- a/violetsaddle/net/flows.py
+++ b/violetsaddle/net/flows.py
@@ -124,11 +124,32 @@
         self.teller: Teller | None = None  # None: there are no peers, or no way to them
         self._over: OrderedDict[str, None] = OrderedDict()  # ids of the last flows that are over
         self.when_idle: Callable[[], None] | None = None  # called when the last flow has ended
+        self.elsewhere: set[str] = set()  # ids of flows that are open in another process of this node
+        self.on_id: Callable[[str, bool], None] | None = None  # told of each id taken in, and when it is over
         self._balancer = decider(told, seed, deadlines.now(), self)
 
     def __len__(self) -> int:
         return len(self._table)
 
+    # Ids, for another process of the same node.
+
+    def holds(self, job: str) -> bool:
+        """Whether a flow with this id is open here."""
+        return job in self._by_job
+
+    def open_ids(self) -> list[str]:
+        return list(self._by_job)
+
+    def ids(self) -> list[str]:
+        """Those that must not be taken again: of the flows that are over, and of those that are open."""
+        return [*self._over, *self._by_job][-self._limits.remembered:]
+
+    def remember(self, ids: Sequence[str]) -> None:
+        """Ids of an earlier life of the program, the latest last."""
+        for job in ids[-self._limits.remembered:]:
+            if len(job) <= self._limits.identity:
+                self._over[job] = None
+
     # What comes in.  Events are told one after the other: the module is never entered from its own actions.
 
     def _tell(self, event: Callable[[], None]) -> None:
@@ -161,7 +182,7 @@
         if self._told.classes[index].effect == api.KEYED and not repeat_key:
             raise Unfit("this class needs a key against repeats")
         # Guards against an id sent again once its flow is over: real servers may have run it already.
-        if job in self._by_job or job in self._over:
+        if job in self._by_job or job in self._over or job in self.elsewhere:
             raise Unfit("the id is in use")
         now = self._deadlines.now()
         if self.ending:
@@ -171,6 +192,8 @@
         flow = Flow(job, order, asker, now + given, self._told.classes[index].effect == api.UNSAFE)
         number = flow.number = self._table.put(flow)
         self._by_job[job] = number
+        if self.on_id is not None:
+            self.on_id(job, False)
         # Guards against a flow the module holds or lost past its deadline.
         flow.guard = self._deadlines.add(now + remaining, lambda: self._overdue(number))
         self._counters.add("flows")
@@ -288,8 +311,10 @@
             self._table.free(flow.number)
             del self._by_job[flow.job]
             self._over[flow.job] = None
-            if len(self._over) > self._limits.remembered:
+            while len(self._over) > self._limits.remembered:
                 self._over.popitem(last=False)
+            if self.on_id is not None:
+                self.on_id(flow.job, True)
             if not len(self._table) and self.when_idle is not None:
                 self.when_idle()
 
--- a/violetsaddle/net/node.py
+++ b/violetsaddle/net/node.py
@@ -4,9 +4,10 @@
 
 import gc
 import signal
+import socket
 from collections.abc import Callable, Mapping, Sequence
 from dataclasses import dataclass
-from typing import Any
+from typing import Any, Protocol
 
 from twisted.internet.error import CannotListenError
 from twisted.logger import LogEvent, globalLogBeginner
@@ -48,6 +49,22 @@
     kinds: Sequence[str]
 
 
+class Upgrades(Protocol):
+    """What takes the node's start and its signals where hot upgrades are on."""
+
+    def start(self) -> None:
+        """As `Node.start`."""
+
+    def asked(self) -> None:
+        """On SIGUSR2."""
+
+    def stop(self) -> None:
+        """On SIGTERM."""
+
+    def ended(self) -> None:
+        """The reactor has stopped."""
+
+
 def unchanged(limits: Limits) -> Limits:
     return limits
 
@@ -75,23 +92,94 @@
                                        self.servers.report))
         self.counters.held = self.held
         self._port: Any = None  # None: not listening
-        self._stopping = self._ended = False
+        self._peers: Peers | None = None
+        self._paused = False  # another process of this node accepts
+        self._stopping = self._closing = self._finishing = self._ended = False
+        self.guest: Callable[[], bool] = lambda: False  # another process's flows still need our listener
+        self.moved = False  # discovery is where the configuration says, whatever the environment told
+        self.status = 0
 
     def start(self) -> None:
         """Listens; raises `CannotListenError`, or `BadList` where the known list can't be read."""
-        if self._config.known:
-            self.discovery.take(self._config.known, api.DISK)
         host, port = self._config.listen
+        self._prepare(self._config.known, None)
+        self._listens(self._reactor.listenTCP(port, self.edge, self.limits.backlog, host))
+
+    def adopt(self, listener: socket.socket, datagrams: socket.socket | None, known: Any,
+              paused: bool) -> None:
+        """The same with copies of sockets that listen already; `known`: the list to begin with; `paused`:
+        until `resume`, what comes is another process's."""
+        self._prepare(known or self._config.known, datagrams)
+        port = self._reactor.adoptStreamPort(listener.fileno(), listener.family, self.edge)
+        if paused:
+            self._port, self.edge.hold = port, self._hold
+            self.pause()
+        else:
+            self._listens(port)
+
+    def _prepare(self, known: Any, datagrams: socket.socket | None) -> None:
+        if known:
+            self.discovery.take(known, api.DISK)
         if self._config.peer_listen is not None and self._config.told.may_tell:
-            peers = Peers(self._reactor, self.limits, self.counters, self.flows, self._config.peers,
-                          self._config.peers_all)
-            peers.listen(self._config.peer_listen)
+            peers = self._peers = Peers(self._reactor, self.limits, self.counters, self.flows,
+                                        self._config.peers, self._config.peers_all)
+            if datagrams is None:
+                peers.listen(self._config.peer_listen)
+            else:
+                peers.adopt(datagrams.fileno(), datagrams.family)
             self.flows.teller = peers
-        self._port = self._reactor.listenTCP(port, self.edge, self.limits.backlog, host)
+
+    def _listens(self, port: Any) -> None:
+        self._port = port
         self.edge.hold = self._hold
-        at = self._port.getHost()
+        at = port.getHost()
         self.counters.say(f"listening on {at.host}:{at.port}")
 
+    # Where two processes of the node stand beside each other.
+
+    def sockets(self) -> list[int]:
+        """Descriptors: of the listener, then of the datagrams' socket if there is one."""
+        datagrams = self._peers.fd() if self._peers is not None else None
+        return [self._port.fileno(), *([] if datagrams is None else [datagrams])]
+
+    def pause(self) -> None:
+        """New connections, datagrams and the word to the peers are another process's from now on."""
+        self._paused = True
+        if self._port is not None:
+            self._port.stopReading()
+        if self._peers is not None:
+            self._peers.pause()
+        self.flows.teller = None
+
+    def resume(self) -> None:
+        self._paused = self.edge.closing = False
+        self.flows.when_idle = self.edge.when_empty = None
+        self._hold(self.edge.held)
+        if self._peers is not None:
+            self._peers.resume()
+        self.flows.teller = self._peers
+
+    def drain(self, idle_for: int, empty: Callable[[], None]) -> None:
+        """Ends what clients have here: each connection with its next answer, and one that is not used within
+        `idle_for` microseconds then.  `empty` is called when nothing is left."""
+        def look() -> None:
+            if not len(self.flows) and not len(self.edge.shared.connections):
+                empty()
+
+        def close_unused() -> None:
+            if self._paused:
+                self.edge.close_unused()
+
+        self.flows.when_idle = self.edge.when_empty = look
+        self.edge.hand_over()
+        self.deadlines.after(idle_for, close_unused)
+        look()
+
+    def quit(self, status: int) -> None:
+        """Ends at once; `status` is the program's."""
+        self.status = status
+        self._end()
+
     def held(self) -> dict[str, int]:
         """What the node holds now; after its end each must be 0."""
         return {"flows": len(self.flows), "edge": len(self.edge.shared.connections),
@@ -99,7 +187,7 @@
 
     def _hold(self, held: bool) -> None:
         if self._port is not None:
-            if held:
+            if held or self._paused:
                 self._port.stopReading()
             else:
                 self._port.startReading()
@@ -114,6 +202,7 @@
             self.counters.say(f"goes on with the old configuration: {named}".replace("\n", " ")[:300])
             return
         self.counters.add("reloads")
+        self.moved = True
         self.counters.say("discovery is at {}:{}".format(*config.discovery))
         self.discovery.move(config.discovery)
 
@@ -136,13 +225,21 @@
     def _close(self) -> None:
         """What is owed is still finished; real servers call back at the node's address, so it stays open
         for them until then."""
+        self._closing = True
         self.edge.close_soon()
-        self.flows.when_idle = self._finish
-        if not len(self.flows):
-            self._finish()
+        self.flows.when_idle = self.settle
+        self.settle()
 
-    def _finish(self) -> None:
+    def settle(self) -> None:
+        """Ends what is to end, if nothing is owed here nor by the process whose callbacks come to us."""
+        if self._closing and not len(self.flows) and not self.guest():
+            self.finish()
+
+    def finish(self) -> None:
         """Nothing is owed any more."""
+        if self._finishing:
+            return
+        self._finishing = True
         self.flows.when_idle = None
         self.discovery.stop()
         if self._port is not None:
@@ -167,18 +264,23 @@
 
 
 def run(config: Config, reread: Callable[[], Config], adjust: Callable[[Limits], Limits] = unchanged,
-        log: Sink | None = None) -> int:
+        log: Sink | None = None,
+        upgrades: Callable[[Reactor, Node], Upgrades] | None = None) -> int:
+    """Runs a node until it ends and gives the program's status; `upgrades`: None where they are off."""
     from twisted.internet import reactor  # the default one: epoll where there is epoll
 
     node = Node(reactor, config, reread, adjust, log)
     observer: Any = node.observe  # its interface is declared in a way that type checkers can't read
     globalLogBeginner.beginLoggingTo([observer], redirectStandardIO=False, discardBuffer=True)
     running: Reactor = reactor
-    for number, what in ((signal.SIGTERM, node.stop), (signal.SIGINT, node.stop),
-                         (signal.SIGHUP, node.reload), (signal.SIGUSR1, node.counters.show)):
+    life = upgrades(running, node) if upgrades is not None else None
+    stop = node.stop if life is None else life.stop
+    for number, what in ((signal.SIGTERM, stop), (signal.SIGINT, stop), (signal.SIGHUP, node.reload),
+                         (signal.SIGUSR1, node.counters.show),
+                         *([] if life is None else [(signal.SIGUSR2, life.asked)])):
         signal.signal(number, lambda *_, what=what: running.callFromThread(what))
     try:
-        node.start()
+        (life or node).start()
     except CannotListenError as error:
         node.counters.say(f"listen: {error}")
         return 1
@@ -187,5 +289,7 @@
     gc.freeze()
     gc.set_threshold(20_000, 20, 50)
     running.run(installSignalHandlers=False)
+    if life is not None:
+        life.ended()
     node.counters.show()
-    return 0
+    return node.status
--- a/violetsaddle/net/peers.py
+++ b/violetsaddle/net/peers.py
@@ -32,6 +32,23 @@
             # Peers' words help to choose well; a node serves without them too.
             self._counters.say(f"peer_listen: {error}")
 
+    def adopt(self, fd: int, family: int) -> None:
+        """Listens on a copy of a socket that is bound already."""
+        self._reactor.adoptDatagramPort(fd, family, self, self._limits.datagram + 1)
+
+    def fd(self) -> int | None:
+        """Its socket's descriptor; None where it could not listen."""
+        return None if self.transport is None else int(self.transport.fileno())
+
+    def pause(self) -> None:
+        """What comes is another process's to read."""
+        if self.transport is not None:
+            self.transport.stopReading()
+
+    def resume(self) -> None:
+        if self.transport is not None:
+            self.transport.startReading()
+
     def datagramReceived(self, data: bytes, addr: tuple[str, int]) -> None:
         number = self._numbers.get(addr)
         if number is None or len(data) > self._limits.datagram:
