Hand a running node over to a fresh process: SIGUSR2, or `violetsaddle upgrade`

Need: an upgrade of a node should cost no request.

Change: net/upgrade.py starts the successor, gives it the listening sockets over a pair of Unix sockets, with the list and the ids, and drains; the section [restart] of the operator file switches it on. Off, nothing of it is imported and SIGUSR2 does nothing.

--- a/tests/test_operator.py
+++ b/tests/test_operator.py
@@ -252,7 +252,8 @@
     def test_a_node_without_an_operator_file_imports_nothing_for_it(self) -> None:
         code = ("import sys, violetsaddle.__main__\n"
                 "print([m for m in sys.modules if m.partition('.')[0] in ('msgspec', 'structlog', 'click')"
-                " or m in ('violetsaddle.log', 'violetsaddle.operator')])")
+                " or m.startswith(('violetsaddle.log', 'violetsaddle.operator', 'violetsaddle.decide',"
+                " 'violetsaddle.net.upgrade'))])")
         out = subprocess.run([sys.executable, "-c", code], capture_output=True, text=True, check=True).stdout
         self.assertEqual(out, "[]\n")
 
--- a/violetsaddle/__main__.py
+++ b/violetsaddle/__main__.py
@@ -8,6 +8,7 @@
     # Before all else: the imports below take a while, in which either would end the program.
     signal.signal(signal.SIGHUP, signal.SIG_IGN)
     signal.signal(signal.SIGUSR1, signal.SIG_IGN)
+    signal.signal(signal.SIGUSR2, signal.SIG_IGN)
 
 import json
 import os
@@ -20,10 +21,13 @@
 from violetsaddle.interface import SettingsError
 from violetsaddle.net.discovery import BadList, address
 from violetsaddle.net.limits import Limits
-from violetsaddle.net.node import Config, ConfigError, run, unchanged
+from violetsaddle.net.node import Config, ConfigError, Node, Upgrades, run, unchanged
 
 if TYPE_CHECKING:
     from violetsaddle.log import Log
+    from violetsaddle.operator import Operator
+
+SUCCESSOR = "VIOLETSADDLE_SUCCESSOR"  # names the descriptor that a successor gets from the process it follows
 
 
 def at(table: dict[str, Any], key: str, told: str | None, least: int = 1) -> tuple[str, int]:
@@ -86,29 +90,46 @@
         raise ConfigError(str(error)) from None
 
 
-def operated(name: str) -> tuple[Callable[[Limits], Limits], Log | None]:
-    """What the operator file changes; where none is named, nothing it needs is imported."""
+def operated(name: str) -> tuple[Callable[[Limits], Limits], Log | None, Operator | None]:
+    """What the operator file changes, and the file; where none is named, nothing it needs is imported."""
     path = os.environ.get("RELAY_OPERATOR")
     if not path:
-        return unchanged, None
+        return unchanged, None, None
     try:
         from violetsaddle import log, operator
     except ModuleNotFoundError as error:
         raise ConfigError(f"RELAY_OPERATOR: needs the package {error.name}, which is not installed") from None
     told = operator.load(path)
-    return told.limits_for, log.make(told.log, name, sys.stderr)
+    return told.limits_for, log.make(told.log, name, sys.stderr), told
+
+
+def upgrading(told: Operator | None, config: Config,
+              step: Callable[[str], None]) -> Callable[[Any, Node], Upgrades] | None:
+    """What makes hot upgrades possible; None, and nothing is imported, where the operator file does not ask
+    for them and this process is no successor."""
+    follows = os.environ.pop(SUCCESSOR, None)
+    if follows is None and (told is None or not told.restart.upgrade):
+        return None
+    from violetsaddle.net import upgrade
+
+    pair = upgrade.inherited(follows) if follows is not None else None
+    restart = upgrade.Told.of(told.restart) if told is not None else upgrade.Told()
+    return lambda reactor, node: upgrade.Upgrade(reactor, node, config, restart, pair, step)
 
 
-def main() -> int:
+def main(step: Callable[[str], None] = lambda point: None) -> int:
+    """`step` is told of each point of an upgrade: tests end the program there."""
     signal.signal(signal.SIGHUP, signal.SIG_IGN)  # until the node listens for it
+    signal.signal(signal.SIGUSR2, signal.SIG_IGN)  # the same, and for good where upgrades are off
     try:
         config = read()
-        adjust, log = operated(config.name)
+        adjust, log, told = operated(config.name)
+        upgrades = upgrading(told, config, step)
     except (ConfigError, SettingsError) as error:
         print(f"violetsaddle: {error}".replace("\n", " "), file=sys.stderr)
         return 2
     try:
-        return run(config, reread, adjust, log)
+        return run(config, reread, adjust, log, upgrades)
     except BadList as error:
         print(f"violetsaddle: known: {error}".replace("\n", " "), file=sys.stderr)
         return 2
--- a/violetsaddle/cli/main.py
+++ b/violetsaddle/cli/main.py
@@ -10,6 +10,7 @@
 
 COMMANDS = {
     "serve": "Run one node in this process.",
+    "upgrade": "Replace a running node without loss.",
     "check": "Check operator files and node configurations.",
     "demo": "Show a node at work on an emulated fleet.",
     "lab": "Run experiments: days of load and trouble, judged.",
--- a/violetsaddle/operator.py
+++ b/violetsaddle/operator.py
@@ -89,11 +89,31 @@
                 raise Mismatch(high, f"expected at least {low} ({least}), not {value}")
 
 
+class Restart(Struct, frozen=True, forbid_unknown_fields=True):
+    """`[restart]`: what outlives a process and how the next one begins; all of it off by default."""
+
+    snapshot: Annotated[str, Meta(max_length=4000)] = ""  # path; "": off
+    snapshot_every_s: Annotated[float, Meta(ge=0.1, le=3600)] = 5.0
+    snapshot_most_kb: Annotated[int, Meta(ge=16, le=65_536)] = 256
+    believe_s: Annotated[float, Meta(ge=0, le=3600)] = 60.0  # older than this is not believed at all
+    warm_from_peers: bool = False
+    upgrade: bool = False
+    upgrade_wait_s: Annotated[float, Meta(ge=0.1, le=600)] = 10.0
+    upgrade_drain_s: Annotated[float, Meta(ge=0, le=3600)] = 30.0
+    pid_file: Annotated[str, Meta(max_length=4000)] = ""  # holds the process that serves; "": none
+
+    @property
+    def keeps(self) -> bool:
+        """Whether the node needs a keeper."""
+        return bool(self.snapshot) or self.warm_from_peers
+
+
 class Operator(Struct, frozen=True, forbid_unknown_fields=True):
     """A whole operator file, a field a section."""
 
     log: Log = Log()
     limits: Limits = Limits()
+    restart: Restart = Restart()
 
     def limits_for(self, limits: NodeLimits) -> NodeLimits:
         """`limits` with what the file changes.  `server_idle` and `dial` only get shorter than the settings'
