--- a/tests/scenario.py
+++ b/tests/scenario.py
@@ -9,13 +9,15 @@
     s expect ~POST /api                      among things that come in any order
 
 Parties: `c`, `c1`, ... are clients; `s` is whichever real server hears next, `was` the one it heard before
-that; `d` is discovery; `p` is another node, by datagrams in
-hexadecimal; `node` takes signals and tells its log and its end.  Shorthands: `c send job ID LANE`,
+that, `of-ID` the one that heard the job ID; `d` is discovery; `p` is another node, by datagrams in
+hexadecimal; `node` takes signals and tells its log and its end,
+`next` is its successor (their log is one).  Shorthands: `c send job ID LANE`,
 `s send 202`, `s call ID STATE` (a callback, with `result=...` or `share=...`; `call+` expects its 204),
 `d send list VERSION s-1=up ...`."""
 
 from __future__ import annotations
 
+import ctypes
 import json
 import os
 import re
@@ -25,10 +27,12 @@
 import subprocess
 import sys
 import tempfile
+import time
 import unittest
 from collections.abc import Sequence
 from typing import Any
 
+PR_SET_CHILD_SUBREAPER = 36
 PATIENCE = 20.0  # seconds until a scenario that waits for what never comes has failed
 CLASSES = [
     {"name": "quote", "target": 200_000, "deadline": 5_000_000, "idempotency": "retryable"},
@@ -86,6 +90,8 @@
     """Starts the program with `settings` and `config` changed, plays a text, and ends the program."""
 
     COMMAND = ("-m", "violetsaddle")
+    told: dict[str, str] = {}  # environment of the program
+    successor = 0  # the process id of `next`
 
     def start(self, settings: dict[str, Any] | None = None, servers: int = 2, version: int = 1,
               **config: Any) -> None:
@@ -96,6 +102,7 @@
         own.close()  # the program takes it over
         self.addCleanup(self.peer.close)
         self.lines: dict[str, Line] = {}
+        self.took: dict[str, Line] = {}  # the real server's connection on which a job came, by its id
         self.waiting: list[tuple[Line, str]] = []  # heard out of turn
         self.heard: list[Line] = []  # real servers' connections, the one heard last at the end
         self.where = {n: address(s) for n, s in self.servers.items()}
@@ -104,8 +111,8 @@
                  "known": self.listing(version, [f"{n}=up" for n in self.servers]),
                  "peer_listen": self.peer_at, "peers": [self.peer_at, address(self.peer)],
                  "settings": {**SETTINGS, **(settings or {})}, **config}
-        self.run_program(json.dumps(table), RELAY_DISCOVERY=table["discovery"])
         self.table = table
+        self.run_program(json.dumps(table), RELAY_DISCOVERY=table["discovery"], **self.told)
         self.port = int(self.log("listening on")[0].rpartition(":")[2])
 
     def replace(self, **config: Any) -> None:
@@ -120,11 +127,26 @@
         self.path = file.name
         self.addCleanup(os.unlink, file.name)
         env = {k: v for k, v in os.environ.items() if not k.startswith("RELAY_")}
+        self.log_held = b""
+        self.successors: list[int] = []
         self.program = subprocess.Popen([sys.executable, *self.COMMAND], stderr=subprocess.PIPE,
+                                        stdout=subprocess.DEVNULL,
                                         env={**env, **told, "RELAY_CONFIG": file.name})
         self.addCleanup(self.end)
 
+    def operate(self, text: str) -> None:
+        """Gives the program that is started next an operator file."""
+        with tempfile.NamedTemporaryFile("w", suffix=".toml", delete=False) as file:
+            file.write(text)
+        self.addCleanup(os.unlink, file.name)
+        self.told = {**self.told, "RELAY_OPERATOR": file.name}
+
     def end(self) -> None:
+        for pid in self.successors:
+            try:
+                os.kill(pid, signal.SIGKILL)
+            except ProcessLookupError:
+                pass
         self.program.kill()
         self.program.wait()
         assert self.program.stderr is not None
@@ -134,17 +156,47 @@
         for sock in [*self.servers.values(), self.discovery]:
             sock.close()
 
+    def reaped(self) -> int:
+        """The status of `next`, which has become a child of this process: see `adopts`."""
+        until = time.monotonic() + PATIENCE
+        while time.monotonic() < until:
+            pid, status = os.waitpid(self.successor, os.WNOHANG)
+            if pid:
+                self.successors.remove(pid)
+                return os.waitstatus_to_exitcode(status)
+            select.select([], [], [], 0.01)
+        raise AssertionError("the successor does not end")
+
+    def adopts(self) -> None:
+        """From now on a process whose parent has ended is this one's to wait for."""
+        libc = ctypes.CDLL(None)
+        libc.prctl(PR_SET_CHILD_SUBREAPER, 1)
+        self.addCleanup(libc.prctl, PR_SET_CHILD_SUBREAPER, 0)
+
     def log(self, *wanted: str) -> list[str]:
         """Reads the program's log up to a line that holds the first text; the others must be in it."""
-        assert self.program.stderr is not None
         seen = []
-        while line := self.program.stderr.readline().decode():
+        while line := self.log_line():
             seen.append(line.strip())
             if wanted[0] in line:
                 self.holds(line, wanted[1:])
                 return [line.strip()]
         raise AssertionError(f"{wanted[0]!r} never came, but {seen}")
 
+    def log_line(self) -> str:
+        """The next line of the log; empty where it has ended or nothing comes."""
+        assert self.program.stderr is not None
+        log = self.program.stderr.fileno()
+        while b"\n" not in self.log_held:
+            if not select.select([log], [], [], PATIENCE)[0] or not (data := os.read(log, 65536)):
+                break
+            self.log_held += data
+        line, mark, self.log_held = self.log_held.partition(b"\n")
+        if follows := re.search(rb"upgrade: (\d+) is to follow", line):
+            self.successor = int(follows[1])
+            self.successors.append(self.successor)
+        return (line + mark).decode()
+
     def holds(self, heard: str, wanted: Sequence[str]) -> None:
         for text in wanted:
             if text.startswith("!"):
@@ -168,6 +220,8 @@
                     raise AssertionError(f"at {row.strip()!r}: {error}") from error
 
     def line(self, party: str) -> Line:
+        if party.startswith("of-"):
+            return self.took[party[3:]]
         if party in ("s", "was"):
             return self.heard[-1 if party == "s" else -2]
         if party not in self.lines:
@@ -212,14 +266,17 @@
                 del self.waiting[at]
                 self.heard.remove(line)
                 self.heard.append(line)
+                if job := re.search(r"X-Txn: (\S+)", message):
+                    self.took[job[1]] = line
                 return message
             at += 1
 
     # The verbs.
 
     def do_send(self, party: str, words: str, _: bool) -> None:
-        if party == "node":
-            self.program.send_signal(signal.Signals["SIG" + words])
+        if party in ("node", "next"):
+            pid = self.program.pid if party == "node" else self.successor
+            os.kill(pid, signal.Signals["SIG" + words])
             return
         if party == "p":
             self.peer.sendto(bytes.fromhex(words), ("127.0.0.1", int(self.peer_at.rpartition(":")[2])))
@@ -247,9 +304,10 @@
 
     def do_expect(self, party: str, words: str, _: bool) -> None:
         wanted = words.split(" | ")
-        if party == "node":
+        if party in ("node", "next"):
             if wanted[0].startswith("exit "):
-                self.assertEqual(self.program.wait(PATIENCE), int(wanted[0][5:]))
+                status = self.program.wait(PATIENCE) if party == "node" else self.reaped()
+                self.assertEqual(status, int(wanted[0][5:]))
             else:
                 self.log(*wanted)
             return
