--- a/tests/test_operator.py
+++ b/tests/test_operator.py
@@ -260,13 +260,14 @@
     def test_a_node_imports_nothing_for_what_is_off(self) -> None:
         code = ("import sys, violetsaddle.__main__\n{}\n"
                 "print([m for m in sys.modules if m.partition('.')[0] in ({!r}, 'structlog', 'click')"
-                " or m in ('violetsaddle.net.warmth', {!r})"
+                " or m in ('violetsaddle.net.warmth', 'violetsaddle.net.upgrade', {!r})"
                 " or m.startswith(('violetsaddle.decide', 'violetsaddle.store'))])")
         with tempfile.TemporaryDirectory() as folder:
             off = written(folder, "off.toml", "")
             for values, wanted in (
                     (("", "msgspec", "violetsaddle.operator"), "[]\n"),
-                    (("print(violetsaddle.__main__.operated('n')[2])", "", ""), "None\n[]\n")):
+                    (("main = violetsaddle.__main__; told = main.operated('n')[2]; print(main.keeping(told), "
+                      "main.upgrading(told, None, None))", "", ""), "None None\n[]\n")):
                 out = subprocess.run(
                     [sys.executable, "-c", code.format(*values)], capture_output=True, text=True, check=True,
                     env={**os.environ, "RELAY_OPERATOR": off}).stdout
--- a/violetsaddle/__main__.py
+++ b/violetsaddle/__main__.py
@@ -9,6 +9,7 @@
     # Before all else: the imports below take a while, in which either would end the program.
     signal.signal(signal.SIGHUP, signal.SIG_IGN)
     signal.signal(signal.SIGUSR1, signal.SIG_IGN)
+    signal.signal(signal.SIGUSR2, signal.SIG_IGN)
     # What imports make is kept: the collector would only look through it again and again.  `run` has it back.
     gc.disable()
     from violetsaddle.net import early, lean
@@ -27,12 +28,14 @@
 from violetsaddle import settings
 from violetsaddle.interface import SettingsError
 from violetsaddle.net.discovery import BadList, address
+from violetsaddle.net.early import SUCCESSOR
 from violetsaddle.net.limits import Limits
-from violetsaddle.net.node import Config, ConfigError, Keeper, Node, run, unchanged
+from violetsaddle.net.node import Config, ConfigError, Keeper, Node, Upgrades, run, unchanged
 from violetsaddle.net.outlet import Outlet
 
 if TYPE_CHECKING:
     from violetsaddle.log import Log
+    from violetsaddle.operator import Operator
 
 
 def at(table: dict[str, Any], key: str, told: str | None, least: int = 1) -> tuple[str, int]:
@@ -95,8 +98,8 @@
         raise ConfigError(str(error)) from None
 
 
-def operated(name: str) -> tuple[Callable[[Limits], Limits], Log | None, Callable[[Node], Keeper] | None]:
-    """What the operator file changes; where none is named, nothing it needs is imported."""
+def operated(name: str) -> tuple[Callable[[Limits], Limits], Log | None, Operator | None]:
+    """What the operator file changes, and the file; where none is named, nothing it needs is imported."""
     path = os.environ.get("RELAY_OPERATOR")
     if not path:
         return unchanged, None, None
@@ -105,25 +108,49 @@
     except ModuleNotFoundError as error:
         raise ConfigError(f"RELAY_OPERATOR: needs the package {error.name}, which is not installed") from None
     told = operator.load(path)
-    keep = None
-    if told.restart.keeps:
-        from violetsaddle.net import warmth
+    return told.limits_for, log.make(told.log, name, cast(TextIO, Outlet(sys.stderr))), told
 
-        keep = warmth.keeper(told.restart)
-    return told.limits_for, log.make(told.log, name, cast(TextIO, Outlet(sys.stderr))), keep
 
+def upgrading(told: Operator | None, config: Config,
+              step: Callable[[str], None]) -> Callable[[Any, Node], Upgrades] | None:
+    """What makes hot upgrades possible; None, and nothing is imported, where the operator file does not ask
+    for them and this process is no successor."""
+    follows = os.environ.pop(SUCCESSOR, None)
+    if follows is None and (told is None or not told.restart.upgrade):
+        return None
+    from violetsaddle.net import upgrade
 
-def main(listener: socket | None = None) -> int:
-    """Runs a node and gives the program's status; `listener`: listens at its address already."""
+    pair = upgrade.inherited(follows) if follows is not None else None
+    restart = upgrade.Told.of(told.restart) if told is not None else upgrade.Told()
+    return lambda reactor, node: upgrade.Upgrade(reactor, node, config, restart, pair, step)
+
+
+def keeping(told: Operator | None) -> Callable[[Node], Keeper] | None:
+    """What keeps what a node has learned; None, and nothing is imported, where the operator file does not
+    ask for it."""
+    if told is None or not told.restart.keeps:
+        return None
+    from violetsaddle.net import warmth
+
+    return warmth.keeper(told.restart)
+
+
+def main(listener: socket | None = None, step: Callable[[str], None] = lambda point: None) -> int:
+    """Runs a node and gives the program's status.
+
+    `listener`: listens at its address already; `step` is told of each point of an upgrade: tests end the
+    program there."""
     signal.signal(signal.SIGHUP, signal.SIG_IGN)  # until the node listens for it
+    signal.signal(signal.SIGUSR2, signal.SIG_IGN)  # the same, and for good where upgrades are off
     try:
         config = read()
-        adjust, log, keep = operated(config.name)
+        adjust, log, told = operated(config.name)
+        upgrades = upgrading(told, config, step)
     except (ConfigError, SettingsError) as error:
         print(f"violetsaddle: {error}".replace("\n", " "), file=sys.stderr)
         return 2
     try:
-        return run(config, reread, adjust, log, keep, listener)
+        return run(config, reread, adjust, log, keeping(told), listener, upgrades)
     except BadList as error:
         print(f"violetsaddle: known: {error}".replace("\n", " "), file=sys.stderr)
         return 2
--- a/violetsaddle/net/early.py
+++ b/violetsaddle/net/early.py
@@ -9,12 +9,16 @@
 import os
 import socket
 
+SUCCESSOR = "VIOLETSADDLE_SUCCESSOR"  # names the descriptor that a successor gets from the process it follows
+
 
 def listen(backlog: int = 511) -> socket.socket | None:
     """The node's listener; None where it can't be had so early.
 
     Nothing is reported here: what is wrong with the configuration or the address comes up again when the node
-    reads it and listens, and is told there."""
+    reads it and listens, and is told there.  A process that follows another gets its sockets from that."""
+    if SUCCESSOR in os.environ:
+        return None
     try:
         told = os.environ.get("RELAY_LISTEN")
         if not told:
--- a/violetsaddle/net/warmth.py
+++ b/violetsaddle/net/warmth.py
@@ -90,7 +90,7 @@
                                          config.kinds, config.fields))
         self._most_age = int(told.believe_s * SECOND)
         self._listing = memory.Listing()
-        node.discovery.seen = self._listing.take
+        node.discovery.seen.append(self._listing.take)
         self._began = node.deadlines.now()
         self._slots = 0.0  # of the fleet's estimate as the node began with it
         self._believed: Believed | None = None
@@ -168,8 +168,8 @@
 
     def _write(self) -> None:
         disk = self._disk
-        if disk is None:
-            return
+        if disk is None or self._node.paused:
+            return  # paused: the file is the other process's, which knows more
         try:
             data = self.snapshot()
         except Exception as error:
--- a/violetsaddle/operator.py
+++ b/violetsaddle/operator.py
@@ -100,6 +100,7 @@
     upgrade: bool = False
     upgrade_wait_s: Annotated[float, Meta(ge=0.1, le=600)] = 10.0
     upgrade_drain_s: Annotated[float, Meta(ge=0, le=3600)] = 30.0
+    pid_file: Annotated[str, Meta(max_length=4000)] = ""  # holds the process that serves; "": none
 
     @property
     def keeps(self) -> bool:
