--- a/violetsaddle/net/deadlines.py
+++ b/violetsaddle/net/deadlines.py
@@ -47,15 +47,14 @@
     def __init__(self, at: int, number: int, what: Callable[[], object]) -> None:
         self.at, self.number, self.what = at, number, what
 
-    def __lt__(self, other: Deadline) -> bool:
-        return (self.at, self.number) < (other.at, other.number)
-
 
 class Deadlines:
     def __init__(self, reactor: Reactor, clock: Clock, fault: Callable[[str, BaseException], None]) -> None:
         """`now` is the clock of all that waits: whoever is given the deadlines needs no other."""
         self._reactor, self._fault = reactor, fault
         self.now = clock.monotonic
+        # Of tuples (time, number, deadline): the first two tell any two apart, so that they are compared
+        # without a call of ours.
         self._sorted: Any = SortedList()
         self._number = 0
         self._call: DelayedCall | None = None
@@ -68,7 +67,7 @@
     def add(self, at: int, what: Callable[[], object]) -> Deadline:
         self._number += 1
         deadline = Deadline(at, self._number, what)
-        self._sorted.add(deadline)
+        self._sorted.add((at, self._number, deadline))
         if not self._sweeping:
             self._set_call()
         return deadline
@@ -79,7 +78,7 @@
     def drop(self, deadline: Deadline | None) -> None:
         """Dropping one that has passed or was dropped does nothing."""
         if deadline is not None:
-            self._sorted.discard(deadline)
+            self._sorted.discard((deadline.at, deadline.number, deadline))
             # Guards against cycles: whoever keeps the handle is often what the work speaks of.
             deadline.what = nothing
 
@@ -89,8 +88,8 @@
             return
         self._sweeping = True
         now, last = self.now(), self._number
-        while self._sorted and self._sorted[0].at <= now and self._sorted[0].number <= last:
-            deadline = self._sorted.pop(0)
+        while self._sorted and self._sorted[0][0] <= now and self._sorted[0][1] <= last:
+            deadline = self._sorted.pop(0)[2]
             what, deadline.what = deadline.what, nothing
             try:
                 what()
@@ -103,7 +102,7 @@
     def _set_call(self) -> None:
         if not self._sorted:
             return
-        at = self._sorted[0].at
+        at = self._sorted[0][0]
         if self._call is not None:
             if at >= self._call_at:
                 return  # an early call only sweeps in vain
