Scan heads by one pattern a line and copy what is passed on in whole ranges

Each field of a head was checked against two sets, became two views and was looked at again by name for the framing, for the headers and for the copy that real servers get.

One compiled pattern a line; names in lower case are made once for the few that come; an order copies the lines that stay in ranges. The same framing rules, refusals and slices of the buffer.

--- a/violetsaddle/net/edge.py
+++ b/violetsaddle/net/edge.py
@@ -33,19 +33,19 @@
 STATES = {"done": api.OK, "failed": api.ERROR, "returned": api.FULL, "lost": api.RESET}
 
 
+NOT_PASSED_ON = http.HOP_BY_HOP | {"x-remaining"}
+
+
 class HttpOrder:
     """A client's request as real servers get it; a copy, for several schedulings may need it."""
 
     __slots__ = ("_head", "_body")
 
     def __init__(self, message: http.Message) -> None:
-        head = bytearray(f"{message.start[0]} {message.start[1]} HTTP/1.1\r\n".encode("ascii"))
-        for name, value in message.fields:
-            if str(name, "ascii").lower() not in http.HOP_BY_HOP and bytes(name).lower() != b"x-remaining":
-                head += bytes(name) + b": " + bytes(value) + b"\r\n"
+        # What is passed on is copied in one go, for it must outlive its buffer; the lengths are our own.
         self._body = bytes(message.body)
-        head += b"Content-Length: %d\r\n" % len(self._body)
-        self._head = bytes(head)
+        self._head = (f"{message.start[0]} {message.start[1]} HTTP/1.1\r\n".encode("ascii")
+                      + message.lines(NOT_PASSED_ON) + b"Content-Length: %d\r\n" % len(self._body))
 
     def message(self, host: str, wait: int) -> Sequence[bytes]:
         return self._head, f"Host: {host}\r\nX-Remaining: {max(1, wait)}u\r\n\r\n".encode("ascii"), self._body
--- a/violetsaddle/net/http.py
+++ b/violetsaddle/net/http.py
@@ -5,11 +5,14 @@
 
 from __future__ import annotations
 
+import re
+
 from violetsaddle.net.limits import Limits
 
 END = b"\r\n\r\n"
+# One line of a head: a token, and a value without control characters but tabs.
+FIELD = re.compile(rb"([!#$%&'*+\-.^_`|~0-9A-Za-z]+):([^\x00-\x08\x0a-\x1f\x7f]*)\r\n")
 CONTINUE = b"HTTP/1.1 100 Continue" + END
-TOKEN = frozenset(b"!#$%&'*+-.^_`|~0123456789abcdefghijklmnopqrstuvwxyzABCDEFGHIJKLMNOPQRSTUVWXYZ")
 CONTROLS = frozenset(range(0x20)) - {0x09} | {0x7F}
 HEX = frozenset(b"0123456789abcdefABCDEF")
 REASONS = {
@@ -32,24 +35,57 @@
         self.status, self.text = status, text
 
 
+# Names of headers in lower case, as they came before: there are few, and each comes with every message.
+_KEYS: dict[bytes, str] = {}
+_MOST_KEYS = 256
+
+
+def _key(name: bytes) -> str:
+    key = _KEYS.get(name)
+    if key is None:
+        key = name.decode("ascii").lower()
+        if len(_KEYS) < _MOST_KEYS:
+            _KEYS[name] = key
+    return key
+
+
+# A header: its name in lower case, where its line begins, where its value does and ends, where its line ends.
+Span = tuple[str, int, int, int, int]
+
+
 class Message:
     """One whole request or answer."""
 
-    __slots__ = ("start", "fields", "headers", "body")
+    __slots__ = ("start", "body", "_view", "_spans", "_values")
 
-    def __init__(self, start: tuple[str, str, str], fields: list[tuple[memoryview, memoryview]],
+    def __init__(self, start: tuple[str, str, str], view: memoryview, spans: list[Span],
                  body: memoryview) -> None:
-        self.start, self.fields, self.body = start, fields, body
-        self.headers: dict[str, memoryview] = {}
-        for name, value in fields:
-            key = str(name, "ascii").lower()
-            held = self.headers.get(key)
-            self.headers[key] = value if held is None else memoryview(bytes(held) + b", " + bytes(value))
+        self.start, self._view, self._spans, self.body = start, view, spans, body
+        self._values: dict[str, str] = {}
 
     def header(self, name: str) -> str | None:
         """By its name in lower case; a header given more than once counts as a list."""
-        value = self.headers.get(name)
-        return None if value is None else str(value, "latin-1")
+        if not self._values and self._spans:
+            values = self._values
+            for key, _, first, last, _ in self._spans:
+                value = str(self._view[first:last], "latin-1")
+                values[key] = f"{values[key]}, {value}" if key in values else value
+        return self._values.get(name)
+
+    def lines(self, without: frozenset[str]) -> bytes:
+        """A copy of the head's lines as they came, but for headers with these names in lower case."""
+        kept, begin, end = [], -1, -1
+        for key, at, _, _, stop in self._spans:
+            if key in without:
+                continue
+            if at != end:
+                if begin >= 0:
+                    kept.append(self._view[begin:end])
+                begin = at
+            end = stop
+        if begin >= 0:
+            kept.append(self._view[begin:end])
+        return b"".join(kept)
 
     @property
     def status(self) -> int:
@@ -73,7 +109,7 @@
     def _reset(self) -> None:
         self._scanned = 0
         self._start: tuple[str, str, str] | None = None
-        self._fields: list[tuple[int, int, int, int]] = []
+        self._fields: list[Span] = []
         self._body_at = 0
         self._length: int | None = 0  # None: up to the end of the connection
         self._chunked, self._read_at, self._kept = False, 0, 0
@@ -90,8 +126,7 @@
     @property
     def wants_continue(self) -> bool:
         """Whether a head has come that waits for a 100 before its body."""
-        return self._start is not None and any(
-            bytes(self._buffer[a:b]).lower() == b"expect" for a, b, _, _ in self._fields)
+        return self._start is not None and any(field[0] == "expect" for field in self._fields)
 
     def next(self) -> Message | None:
         """The next whole message, or None while its bytes have not all come."""
@@ -122,9 +157,8 @@
         buffer, end = self._buffer, self._read_at
         self._buffer = buffer[end:]
         view = memoryview(buffer)
-        fields = [(view[a:b], view[c:d]) for a, b, c, d in self._fields]
         assert self._start is not None
-        message = Message(self._start, fields, view[self._body_at:self._kept])
+        message = Message(self._start, view, self._fields, view[self._body_at:self._kept])
         self._reset()
         return message
 
@@ -140,11 +174,9 @@
             return False
         at = buffer.find(b"\r\n")
         self._start = self._start_line(bytes(buffer[:at]))
+        at += 2
         while at < end:
-            at += 2
-            stop = buffer.find(b"\r\n", at)
-            self._field(at, stop)
-            at = stop
+            at = self._field(at)
         self._body_at = self._read_at = self._kept = end + len(END)
         self._framing()
         return True
@@ -169,32 +201,32 @@
             raise Malformed(505 if parts[2].startswith("HTTP/") else 400, "the version is not HTTP/1.1")
         return parts[0], parts[1], parts[2]
 
-    def _field(self, at: int, stop: int) -> None:
+    def _field(self, at: int) -> int:
+        """Takes in the line that begins here and gives where the next one does."""
         buffer = self._buffer
-        colon = buffer.find(b":", at, stop)
-        if colon <= at or not TOKEN.issuperset(buffer[at:colon]):
-            raise Malformed(400, "a header has no name or a bad one")
-        first, last = colon + 1, stop
+        line = FIELD.match(buffer, at)
+        if line is None:
+            raise Malformed(400, "a header has no name, a bad one, or control characters")
+        first, last = line.span(2)
         while first < last and buffer[first] in b" \t":
             first += 1
         while last > first and buffer[last - 1] in b" \t":
             last -= 1
-        if not CONTROLS.isdisjoint(buffer[first:last]):
-            raise Malformed(400, "a header holds control characters")
-        self._fields.append((at, colon, first, last))
+        stop = line.end()
+        self._fields.append((_key(line[1]), at, first, last, stop))
         if len(self._fields) > self._limits.fields:
             raise Malformed(431, "the head holds too many headers")
+        return stop
 
     def _framing(self) -> None:
         buffer = self._buffer
         lengths, encodings, hosts = [], [], 0
-        for a, b, c, d in self._fields:
-            name = bytes(buffer[a:b]).lower()
-            if name == b"content-length":
+        for key, _, c, d, _ in self._fields:
+            if key == "content-length":
                 lengths.append(bytes(buffer[c:d]))
-            elif name == b"transfer-encoding":
+            elif key == "transfer-encoding":
                 encodings.append(bytes(buffer[c:d]).lower())
-            elif name == b"host":
+            elif key == "host":
                 hosts += 1
         if not self._answers and hosts != 1 and (hosts or (self._start or ("",) * 3)[2] == "HTTP/1.1"):
             raise Malformed(400, "Host is missing or given twice")  # RFC 9112, 3.2
