--- a/tests/test_node.py
+++ b/tests/test_node.py
@@ -312,6 +312,7 @@
             c2 send job b quote
             s expect X-Txn: b
             s send 202
+            s call+ b started
             c2 close
             s expect DELETE /jobs/b
             s close
