--- a/benchmarks/standins.py
+++ b/benchmarks/standins.py
@@ -44,6 +44,8 @@
     fresh_calls: bool = False
     seed: int = 1
     node: int = 0
+    result: int = 0  # bytes of a job's result; 0: the word ok
+    peers: int = 1
 
 
 class Plan(msgspec.Struct, frozen=True):
@@ -159,7 +161,7 @@
     def word(self, job: str, state: str) -> bytes:
         said: dict[str, Any] = {"id": job, "from": self.name, "state": state}
         if state == "done":
-            said["result"] = "ok"
+            said["result"] = "r" * self.town.spec.result or "ok"
         elif state == "stray":
             said |= {"id": "none-" + job, "state": "done", "result": "?"}
         elif state == "stranger":
@@ -306,9 +308,10 @@
                                for box in self.boxes[-1]])
         if self.spec.mix == "endings":
             self.extra = {"s-refuses": self.closed(), "s-mute": self.mute()}
-        _, peer = await self.loop.create_datagram_endpoint(Peer, (HOST, 0))
-        say(discovery=await self.listen(lambda: Watch(self)),
-            peer=peer.transport.get_extra_info("sockname")[1])
+        peers = [(await self.loop.create_datagram_endpoint(Peer, (HOST, 0)))[1]
+                 for _ in range(self.spec.peers)]
+        ports = [peer.transport.get_extra_info("sockname")[1] for peer in peers]
+        say(discovery=await self.listen(lambda: Watch(self)), peer=ports[0], peers=ports)
 
     async def listen(self, build: Callable[[], Framed]) -> int:
         server = await self.loop.create_server(build, HOST, 0, backlog=1024)
