--- a/benchmarks/counting.py
+++ b/benchmarks/counting.py
@@ -24,8 +24,8 @@
 
 SYSTEM = {f"<method '{name}' of '_socket.socket' objects>": name for name in (
     "recv", "recv_into", "recvfrom", "send", "sendmsg", "sendto", "accept", "_accept", "connect",
-    "connect_ex", "close", "shutdown", "bind", "setsockopt", "getsockopt", "getsockname", "getpeername", "setblocking",
-    "settimeout")}
+    "connect_ex", "close", "shutdown", "bind", "setblocking", "settimeout", "setsockopt", "getsockopt",
+    "getsockname", "getpeername")}
 SYSTEM |= {f"<method '{name}' of 'select.epoll' objects>": "epoll_" + name
            for name in ("poll", "register", "modify", "unregister")}
 NAMES = {"epoll_poll": "epoll_wait", "epoll_register": "epoll_ctl", "epoll_modify": "epoll_ctl",
--- a/benchmarks/load.py
+++ b/benchmarks/load.py
@@ -73,6 +73,7 @@
         self.run.answered(self, head[9:12].decode(), due)
 
     def connection_lost(self, error: Exception | None) -> None:
+        self.run.lost(self)
         if self.due:
             self.due = 0.0
             self.run.answered(None, "closed", 0.0)
@@ -131,6 +132,13 @@
         else:
             self.free.append(client)
 
+    def lost(self, client: Client) -> None:
+        """Nothing more is asked on it, and another may be opened in its place."""
+        self.lines.remove(client)
+        if client in self.free:
+            self.free.remove(client)
+        self.made -= 1
+
     def next(self) -> bytes:
         self.sent += 1
         return request(f"a{self.task.name}{self.sent:07x}", self.body, self.sent)
@@ -142,12 +150,19 @@
 
     async def connect(self) -> Client:
         self.made += 1
-        _, line = await self.loop.create_connection(lambda: Client(self), HOST, self.task.port)
+        try:
+            _, line = await self.loop.create_connection(lambda: Client(self), HOST, self.task.port)
+        except OSError:
+            self.made -= 1
+            raise
         self.lines.append(line)
         return line
 
     async def extra(self) -> None:
-        line = await self.connect()
+        try:
+            line = await self.connect()
+        except OSError:
+            return  # the next one due tries again
         if self.waiting:
             line.ask(*self.waiting.pop(0))
         else:
@@ -220,6 +235,7 @@
         except TimeoutError:
             self.statuses["silent"] += task.requests - self.ended
         took = self.loop.time() - self.start
+        opened = self.made
         for line in self.lines:
             line.due = 0.0
             line.transport.abort()
@@ -228,7 +244,7 @@
         await asyncio.sleep(0.02)
         at = self.took.get_value_at_percentile
         return Figures(took, dict(self.statuses), at(50), at(99), at(99.9), self.took.get_max_value(),
-                       self.made, dict(self.slow), self.late.get_value_at_percentile(99))
+                       opened, dict(self.slow), self.late.get_value_at_percentile(99))
 
 
 class Loader:
