--- a/benchmarks/counting.py
+++ b/benchmarks/counting.py
@@ -35,7 +35,7 @@
 PARTS = (
     ("violetsaddle/net/http.py", "parsing"), ("violetsaddle/net/edge.py", "edge"),
     ("violetsaddle/net/flows.py", "flows"), ("violetsaddle/policy", "module"),
-    ("violetsaddle/interface", "module"),
+    ("violetsaddle/interface", "module"), ("violetsaddle/net/reactor.py", "reactor"),
     ("violetsaddle/net/servers.py", "servers"), ("violetsaddle/net/deadlines.py", "deadlines"),
     ("sortedcontainers", "deadlines"), ("violetsaddle/net/counters.py", "counters"),
     ("violetsaddle/net/slots.py", "slots"), ("violetsaddle", "other of the node"),
@@ -44,7 +44,8 @@
     ("twisted", "reactor"), ("asyncio", "reactor"), ("selectors.py", "reactor"),
     ("json/", "JSON"), ("urllib", "edge"), ("benchmarks/forwarder", "forwarder"))
 # Functions that are counted by name: file, function and what they stand for.
-MARKS = (("epollreactor.py", "doPoll", "reactor turns"), ("posixbase.py", "_doReadOrWrite", "reactor events"),
+MARKS = (("reactor.py", "doPoll", "reactor turns"), ("epollreactor.py", "doPoll", "reactor turns"),
+         ("posixbase.py", "_doReadOrWrite", "reactor events"),
          ("selectors.py", "select", "reactor turns"), ("events.py", "_run", "reactor events"),
          ("tcp.py", "doRead", "doRead"), ("abstract.py", "doWrite", "doWrite"),
          ("base.py", "callLater", "callLater"),
--- a/benchmarks/guard.py
+++ b/benchmarks/guard.py
@@ -39,7 +39,6 @@
 import click
 import msgspec
 import twisted
-from twisted.internet.epollreactor import EPollReactor
 
 from benchmarks.counting import counts
 from benchmarks.load import request
@@ -47,6 +46,7 @@
 from benchmarks.standins import HOST, Spec
 from violetsaddle import __main__ as program
 from violetsaddle.net.node import Node
+from violetsaddle.net.reactor import Reactor
 
 BOUNDS = Path(__file__).with_name("bounds.json")
 RISE, FALL = 1.05, 0.90
@@ -107,7 +107,7 @@
 
     def __init__(self, folder: str) -> None:
         self.time = Time()
-        self.reactor: Any = EPollReactor()  # type: ignore[no-untyped-call]
+        self.reactor: Any = Reactor()
         self.reactor.seconds = self.time.seconds
         self.epoll = self.reactor._poller.fileno()
         self.watch: Callable[[Callable[[], None]], None] = lambda turn: turn()
--- a/violetsaddle/net/deadlines.py
+++ b/violetsaddle/net/deadlines.py
@@ -113,3 +113,41 @@
     def _called(self) -> None:
         self._call = None
         self.sweep()
+
+
+class Patience:
+    """A time-out that mostly moves later, as that of a connection in use does: it stands in the sorted
+    structure as it was set first, and moves on only when that comes up."""
+
+    __slots__ = ("_deadlines", "_what", "_deadline", "until")
+
+    def __init__(self, deadlines: Deadlines, what: Callable[[], object]) -> None:
+        self._deadlines, self._what = deadlines, what
+        self._deadline: Deadline | None = None
+        self.until = 0  # 0: it waits for nothing
+
+    def set(self, wait: int) -> None:
+        """From now on it ends after so long."""
+        self.until = until = self._deadlines.now() + wait
+        held = self._deadline
+        if held is None or held.at > until:
+            self._deadlines.drop(held)
+            self._deadline = self._deadlines.add(until, self._due)
+
+    def rest(self) -> None:
+        """It waits for nothing until it is set again."""
+        self.until = 0
+
+    def end(self) -> None:
+        """It holds nothing any more."""
+        self.until = 0
+        self._deadlines.drop(self._deadline)
+        self._deadline = None
+
+    def _due(self) -> None:
+        self._deadline = None
+        if self.until > self._deadlines.now():
+            self._deadline = self._deadlines.add(self.until, self._due)
+        elif self.until:
+            self.until = 0
+            self._what()
--- a/violetsaddle/net/edge.py
+++ b/violetsaddle/net/edge.py
@@ -18,7 +18,7 @@
 from violetsaddle import interface as api
 from violetsaddle.net import http
 from violetsaddle.net.counters import Counters
-from violetsaddle.net.deadlines import Deadline, Deadlines, Transport
+from violetsaddle.net.deadlines import Deadlines, Patience, Transport
 from violetsaddle.net.flows import Failure, Flows, Unfit
 from violetsaddle.net.limits import MS, SECOND, Limits
 from violetsaddle.net.slots import SlotTable
@@ -153,7 +153,7 @@
         self.calls_back = False  # a real server's
         self._first = True  # no message has come whole
         self._since = 0
-        self._due: Deadline | None = None
+        self._patience: Patience | None = None  # None: not connected yet
 
     @property
     def idle(self) -> bool:
@@ -193,13 +193,22 @@
 
     def connectionMade(self) -> None:
         self.transport.setTcpNoDelay(True)
-        self.number = self._shared.connections.put(self)
+        number = self.number = self._shared.connections.put(self)
+        connections = self._shared.connections
+
+        def due() -> None:
+            connection = connections.get(number)
+            if connection is not None:
+                connection.timed_out()
+
+        self._patience = Patience(self._shared.deadlines, due)
         self._shared.counters.add("edge_connections")
         self._wait(self._shared.limits.edge_first)
 
     def connectionLost(self, reason: Reason = connectionDone) -> None:
         self._lost = True
-        self._shared.deadlines.drop(self._due)
+        if self._patience is not None:
+            self._patience.end()
         self._shared.connections.free(self.number)
         if self._awaited:
             self._awaited = False
@@ -208,15 +217,13 @@
 
     def _wait(self, time: int) -> None:
         self._since = self._shared.deadlines.now()
-        self._shared.deadlines.drop(self._due)
-        number, connections = self.number, self._shared.connections
-
-        def due() -> None:
-            connection = connections.get(number)
-            if connection is not None:
-                connection.timed_out()
+        if self._patience is not None and not self._lost:
+            self._patience.set(time)
 
-        self._due = self._shared.deadlines.after(time, due)
+    def _rest(self) -> None:
+        """Nothing is waited for but a flow's answer."""
+        if self._patience is not None:
+            self._patience.rest()
 
     def timed_out(self) -> None:
         if self._closing:
@@ -337,7 +344,7 @@
             if cls is None:
                 raise Unfit("X-Lane is missing")
             self._awaited = True
-            self._shared.deadlines.drop(self._due)
+            self._rest()
             number = self._shared.flows.arrive(
                 job, cls, message.header("x-org"), time, bool(message.header("idempotency-key")), slots,
                 subject(query), estimate(message.header("x-estimate")), HttpOrder(message), self)
@@ -358,7 +365,7 @@
         self._shared.counters.add("callbacks")
         if self._home.pass_on is not None and not self._shared.flows.holds(call["id"]):
             self._awaited = True
-            self._shared.deadlines.drop(self._due)
+            self._rest()
             self._home.pass_on(body, self._final)
             return
         # First the reply: the real server must not call again for what takes us time.
--- a/violetsaddle/net/reactor.py
+++ b/violetsaddle/net/reactor.py
@@ -43,6 +43,11 @@
         eager, self._eager = self._eager, {}
         return list(dict.fromkeys([*super().removeAll(), *eager]))
 
+    def timeout(self) -> float | None:
+        """Seconds until a timer is due; 0 while something waits to be written."""
+        soonest: float | None = super().timeout()
+        return 0.0 if self._eager else soonest
+
     def _flush(self) -> None:
         # Those that ask meanwhile wait for the next turn: a producer without end must not hold this one.
         for writer in list(self._eager):
--- a/violetsaddle/net/servers.py
+++ b/violetsaddle/net/servers.py
@@ -17,7 +17,7 @@
 from violetsaddle import interface as api
 from violetsaddle.net import http
 from violetsaddle.net.counters import Counters
-from violetsaddle.net.deadlines import Deadline, Deadlines, Reactor, Transport, nothing
+from violetsaddle.net.deadlines import Deadline, Deadlines, Patience, Reactor, Transport, nothing
 from violetsaddle.net.flows import Flows, Order, Scheduling
 from violetsaddle.net.limits import SPARE_DESCRIPTORS, Limits
 from violetsaddle.net.slots import SlotTable
@@ -60,7 +60,7 @@
         self._limits, self._ended = limits, ended
         self.number = -1
         self.server: RealServer | None = None
-        self.due: Deadline | None = None
+        self.patience: Patience | None = None  # None: never idle yet
         self._parser = http.Parser(limits, limits.answer_body, answers=True)
         self._answer: Deferred[http.Message] | None = None
         self._message: Sequence[bytes] | None = None
@@ -288,11 +288,13 @@
 
     def _close(self, connection: ServerConnection) -> None:
         connection.open = False
-        self._deadlines.drop(connection.due)
+        if connection.patience is not None:
+            connection.patience.end()
         connection.transport.loseConnection()
 
     def _lost(self, connection: ServerConnection) -> None:
-        self._deadlines.drop(connection.due)
+        if connection.patience is not None:
+            connection.patience.end()
         self._connections.free(connection.number)
         if connection.server is not None and connection.number in connection.server.idle:
             connection.server.idle.remove(connection.number)
@@ -301,7 +303,8 @@
         while server.idle:
             connection = self._connections.get(server.idle.pop())
             if connection is not None and connection.open:
-                self._deadlines.drop(connection.due)
+                if connection.patience is not None:
+                    connection.patience.rest()
                 return connection
         return None
 
@@ -330,10 +333,10 @@
         if self.held < self._limits.server_connections + spare:
             return True
         longest = [c for s in self._by_name.values() if s.idle
-                   and (c := self._connections.get(s.idle[0])) is not None and c.due is not None]
+                   and (c := self._connections.get(s.idle[0])) is not None]
         if not longest:
             return False
-        oldest = min(longest, key=lambda c: c.due.at if c.due is not None else 0)
+        oldest = min(longest, key=lambda c: c.patience.until if c.patience is not None else 0)
         if oldest.server is not None:
             oldest.server.idle.remove(oldest.number)
         self._close(oldest)
@@ -350,16 +353,18 @@
             self._close(connection)
             return
         server.idle.append(connection.number)
-        number = connection.number
-
-        def idled() -> None:
-            # Guards against a request written just as the real server closes: that ends as a reset.
-            idle = self._connections.get(number)
-            if idle is not None and number in server.idle:
-                server.idle.remove(number)
-                self._close(idle)
-
-        connection.due = self._deadlines.after(self._limits.server_idle, idled)
+        if connection.patience is None:
+            number = connection.number
+
+            def idled() -> None:
+                # Guards against a request written just as the real server closes: that ends as a reset.
+                idle = self._connections.get(number)
+                if idle is not None and number in server.idle:
+                    server.idle.remove(number)
+                    self._close(idle)
+
+            connection.patience = Patience(self._deadlines, idled)
+        connection.patience.set(self._limits.server_idle)
 
     # Work for real servers is chained by Deferreds, not by coroutines: an exception thrown into a coroutine
     # leaves its frames, and all that they hold, to the collector.
