Bound a cold worker's budget by the fleet's estimated rate

The debt that an all-cold fleet may use had no bound either.

The budget is the smaller of what own traffic and the estimate allow; debt may pay what can't push the worker over by itself.

--- a/tests/test_attacked.py
+++ b/tests/test_attacked.py
@@ -34,9 +34,13 @@
         balancer.request(now, f"j{n}", 0, SECOND, hint=20 * MS)
         if recorder.sent_to(f"j{n}"):
             balancer.answer(now, f"j{n}", 0, "ok", 1, True, None)
+    balancer.fleet.rate = 500 / SECOND  # slots; the fleet is far larger than its traffic
     balancer.request(now, "big", 0, 4 * SECOND, hint=400 * MS)
     run_until(balancer, recorder, now, now + 5 * SECOND)
     assert recorder.sent_to("big"), "no budget ever grew to its cost: it was held and refused"
+    balancer.request(now, "huge", 0, 4 * SECOND, hint=SECOND)
+    run_until(balancer, recorder, now, now + SECOND)
+    assert not recorder.sent_to("huge"), "it would push any of them over by itself"
 
 
 def test_an_old_timer_does_not_act_on_a_new_request_of_its_id() -> None:
--- a/tests/test_policy.py
+++ b/tests/test_policy.py
@@ -279,3 +279,17 @@
     balancer.workers[2].inflight = 2
     assert balancer._load(3 * SECOND, balancer.workers[2], 1.0) > 0.0
     assert balancer._load(3 * SECOND, balancer.workers[1], 1.0) == 0.0
+
+
+def test_a_cold_worker_is_not_thought_able_to_carry_what_is_refused() -> None:
+    # Own traffic stood for what a warm worker carries, also where most of it was refused: 10 s of work fell
+    # on a worker that had just started.
+    balancer, _ = make(workers=2, cold_from=0.2, cold_for=20 * SECOND)
+    balancer.members(100 * SECOND, "snapshot", [Entry(1, started=100 * SECOND), Entry(2)])
+    cold, balancer.own_rate = balancer.workers[1], 40 / SECOND
+    balancer._cold_allows(100 * SECOND, cold, 10.0)
+    assert cold.cold.burst == pytest.approx(12.0)  # half of 3 x 0.2 of 20 a second, saved up for 2 s
+    balancer.fleet.rate = 4 / SECOND
+    cold.cold.tokens = 1.0
+    assert balancer._cold_allows(100 * SECOND, cold, 10.0) == 0.0
+    assert cold.cold.burst == pytest.approx(1.2)
--- a/violetsaddle/policy.py
+++ b/violetsaddle/policy.py
@@ -21,7 +21,7 @@
 LEAST_BURST = 8.0  # slots; DESIGN's floor
 LEAST_TOKENS = 1.0  # a wide job is paid in part by debt: narrow ones would always drain a thin slice first
 TICK = SECOND  # between estimates: a day lasts under a minute, so DESIGN's minute would never act
-RUN_MEMORY = 0.98  # weight kept by older run times at each new one: about the last 50 jobs count
+RUN_MEMORY, HINT_STEP = 0.98, 0.02  # weight kept by older run times; of a new hint in the mean
 STEP_UP, STEP_DOWN = 1.05, 0.9  # of the rate, each tick, where no free slots are told
 PACE_DOWN, PACE_UP, PACE_LEAST, PACE_MOST = 0.88, 1.04, 0.3, 1.0  # on the estimate: a backlog must drain
 # The 'full' window
@@ -52,8 +52,7 @@
 ZONE_STRIKES, ZONE_DOUBT = 3, 0.04  # failures in a row until a zone counts as cut; draws it keeps
 # Further tries
 RETRY_SHARE, RETRY_MOST = 0.5, 20.0  # failure retries earned by a request, and kept at most; so too copies
-COPY_SHARE, COPY_MOST, HINT_STEP = 0.15, 6.0, 0.02  # and weight of a new hint in their mean
-KEY_COPY = 5.0  # copies that one of a job with a key counts for
+COPY_SHARE, COPY_MOST, KEY_COPY = 0.15, 6.0, 5.0  # and copies that one of a job with a key counts for
 RETRY_WAIT, HOLD_WAIT = SECOND // 20, SECOND // 10  # before a second retry, doubled by each; for a worker
 WINDOW_MARGIN = SECOND // 2  # a repeat must arrive before the group forgets
 COLD_SAFETY, COLD_SAVED = 0.5, 2 * SECOND  # of the cold budget: part used, and time saved up at most
@@ -490,16 +489,17 @@
         self.fleet.most_free[worker.kind] = max(free, self.fleet.most_free.get(worker.kind, 0.0))
 
     def _cold_allows(self, now: int, worker: Worker, cost: float) -> float:
-        """Share of its capacity that a cold worker surely has; 0 where its budget, in what this scheduler
-        sends a mean warm worker, is spent."""
-        told = self.told
+        """Share of its capacity that a cold worker surely has where its budget, in what this scheduler sends
+        a mean warm worker, holds the cost; its negative where debt can pay it and not push it over; or 0."""
+        bucket, told = worker.cold, self.told
         warmth = 1.0 - (worker.cold_until - now) / told.cold_for
         share = told.cold_from + (1.0 - told.cold_from) * min(1.0, max(0.0, warmth))
-        worker.cold.fill(now)
-        n = max(1, len(self.everyone.items))
-        worker.cold.rate = COLD_SAFETY * told.fall_multiple * share * self.own_rate / n
-        worker.cold.burst = max(self.largest, worker.cold.rate * COLD_SAVED)
-        return share if worker.cold.tokens >= cost else 0.0
+        bucket.fill(now)
+        saved = COLD_SAFETY * told.fall_multiple * share * COLD_SAVED / max(1, len(self.everyone.items))
+        whole = saved * (self.fleet.rate / self.schedulers if self.fleet.rate else self.own_rate)
+        saved = min(whole, saved * self.own_rate)  # own traffic says too much where most of it is refused
+        bucket.rate, bucket.burst = saved / COLD_SAVED, max(self.largest, saved)
+        return share if bucket.tokens >= cost else -share * (bucket.tokens >= self.largest and cost <= whole)
 
     def _draw(self, now: int, pool: Pool, slots: float, request: Request | None) -> Worker | None:
         """A random ready worker, by weight; rejection keeps it O(1)."""
@@ -516,8 +516,8 @@
                 weight *= self._cold_allows(now, worker, slots if request is None else request.cost)
             if request is not None and request.attempts and request.tried(worker):
                 continue
-            if not weight:  # where all are cold, a heavy job is paid by debt: no budget grows to its cost
-                debtor = worker if worker.cold_until > now and worker.cold.tokens >= self.largest else debtor
+            if weight <= 0.0:  # where all are cold, a heavy job is paid by debt: no budget grows to its cost
+                debtor = worker if weight < 0.0 else debtor
                 continue
             load = self._load(now, worker, slots)
             if random() * top <= weight and load <= 0.0:
