--- a/tests/test_lab_days.py
+++ b/tests/test_lab_days.py
@@ -194,3 +194,16 @@
     during = [r for r in served(outcome) if SECOND < r.at < 2 * SECOND]
     assert during  # what needs no clock goes on
     assert len(served(outcome)) == sum(isinstance(r, rec.Sent) for r in outcome.records)
+
+
+@pytest.mark.parametrize("kind", ["restart", "kill"])
+def test_both_nodes_of_a_hall_go_within_the_same_second(kind: str) -> None:
+    """Nobody takes a connection for a while: no rule is broken, and both serve when they are back."""
+    day = small(*(Trouble(kind, SECOND + n * 300_000, 2 * SECOND, nodes=(n,)) for n in (0, 1)), seconds=12,
+                nodes=(0, 0))
+    outcome = play(day)
+    lives = [r for r in outcome.records if isinstance(r, rec.NodeLife) and r.life]
+    back = {r.node: r.at for r in lives if r.what == "ready"}
+    assert set(back) == {0, 1}
+    sent = {r.txn: r.node for r in outcome.records if isinstance(r, rec.Sent) and r.at > back[r.node]}
+    assert {sent[a.txn] for a in served(outcome) if a.txn in sent} == {0, 1}
--- a/tests/test_memory.py
+++ b/tests/test_memory.py
@@ -109,6 +109,15 @@
         drained = fresh.workers[crc32(b"s-2")]
         self.assertEqual((drained.state, drained.pools), ("draining", ()))
 
+    def test_where_all_boxes_were_replaced_only_the_fleet_is_believed(self) -> None:
+        now, (fresh, _) = 20 * SECOND, make(workers=0, **MORE)
+        fresh.members(now, "disk", [Entry(crc32(name)) for name in (b"t-0", b"t-1")])
+        found = believe(fresh, self.kept, now, UNIX + SECOND)
+        self.assertEqual((found.boxes, found.passed, found.why), (0, 6, ""))
+        self.assertEqual({(w.speed, w.errors, w.trust, w.strikes) for w in fresh.workers.values()},
+                         {(0.0, 0.0, 1.0, 0)})
+        self.assertEqual(fresh.fleet.most_free, self.old.fleet.most_free)
+
     def test_a_cold_box_never_gets_more_than_a_fresh_start_gives(self) -> None:
         for tokens in (-3.0, 0.0, 50.0, math.inf):
             now = 20 * SECOND
