Words about a real server go to sixteen nodes of its zone, which draw it first

Lines at fault: policy.py `_tell_all` (one datagram to all, gathered for 2.5 ms a node), `_cold_allows` (a budget in N slices, each under one job), `_tick` (N counted by who spoke, so that all have to speak to all).

From 18 nodes on words about a worker go to its circle: 12 of its zone and 4 of others, by rendezvous hashing; starts at once; who is in the circle draws the worker first. N by the share heard of 16 signs of life. A cold worker's budget in whole jobs to the first few of its circle. `Actions.tell` takes a receiver. Up to 17 nodes nothing changes.

--- a/violetsaddle/benchlink.py
+++ b/violetsaddle/benchlink.py
@@ -48,8 +48,8 @@
     def probe(self, worker: int) -> None:
         self.out.append(f"HEALTH_CHECK {self.name} {worker}")
 
-    def tell(self, data: bytes) -> None:
-        self.out.append(f"PUBLISH {self.name} * {data.hex()}")
+    def tell(self, data: bytes, to: int | None = None) -> None:
+        self.out.append(f"PUBLISH {self.name} {'*' if to is None else to} {data.hex()}")
 
     def watch(self) -> None:
         self.out.append(f"FOLLOW {self.name} 1")
--- a/violetsaddle/decide/memory.py
+++ b/violetsaddle/decide/memory.py
@@ -25,7 +25,7 @@
 
 
 OF_FLEET = ("rate", "slot_time", "slots", "pace")  # the module has these at its estimate of the fleet
-VALUES = (*OF_FLEET, "mean_hint", "mean_free", "pressure", "crowd", "own_rate")
+VALUES = (*OF_FLEET, "mean_hint", "pressure", "crowd", "own_rate")
 
 
 class Aging(NamedTuple):
@@ -48,7 +48,6 @@
     "most_free": Aging(0, 60, 0, 1e4, "a kind's size does not change"),
     "speeds": Aging(0, 60, 1e-9, 1e6, "a kind's speed changes slowly; nothing better is known at a start"),
     "mean_hint": Aging(0, 60, 1, 1e12, "the mix of jobs; nothing better is known at a start"),
-    "mean_free": Aging(5, 10, 0, 1e4, "follows the load"),
     "pressure": Aging(2, 10, 0, 1.0, "the last dozen starts: seconds at most"),
     "crowd": Aging(2, 10, 0, 1.0, "the last dozen reports: seconds at most"),
     "own_rate": Aging(10, 60, 0, 1.0, "traffic swings over tens of seconds; slots a microsecond"),
--- a/violetsaddle/decide/warmth.py
+++ b/violetsaddle/decide/warmth.py
@@ -23,7 +23,7 @@
 MS = 1_000  # microseconds
 SECOND = 1_000 * MS
 MAGIC = 0xD7
-VERSION = 1
+VERSION = 2
 QUESTION, ANSWER, BOXES = VERSION << 4 | 1, VERSION << 4 | 2, VERSION << 4 | 3
 MOST = 254  # bytes: the longest with a length of 2 modulo 3 that a datagram may have
 
@@ -46,7 +46,7 @@
 
 HEAD = Struct(">BBH")
 AGED = Struct(">BBHH")
-FLEET = ("slot_time", "slots", "pace", "mean_hint", "mean_free", "pressure", "crowd", "own_rate")
+FLEET = ("slot_time", "slots", "pace", "mean_hint", "pressure", "crowd", "own_rate")
 VALUES = Struct(f">{len(FLEET)}f")
 KIND = Struct(">Bff")  # number, most free slots (below 0: unknown), mean speed (0: unknown)
 BOX = Struct(">HBBBB")  # mark, speed over its kind's, errors, ill (100 ms left), trust
--- a/violetsaddle/interface.py
+++ b/violetsaddle/interface.py
@@ -133,8 +133,8 @@
 
     def probe(self, worker: int) -> None: ...
 
-    def tell(self, data: bytes) -> None:
-        """To every peer; may be lost."""
+    def tell(self, data: bytes, to: int | None = None) -> None:
+        """To one peer by its number, or to every peer; may be lost."""
 
     def watch(self) -> None: ...
 
--- a/violetsaddle/net/flows.py
+++ b/violetsaddle/net/flows.py
@@ -82,7 +82,7 @@
 class Teller(Protocol):
     """What brings words to the other nodes of the tier."""
 
-    def tell(self, data: bytes) -> None: ...
+    def tell(self, data: bytes, to: int | None = None) -> None: ...
 
 
 class Watcher(Protocol):
@@ -373,9 +373,9 @@
         self._counters.add("probes")
         self.carrier.probe(worker)
 
-    def tell(self, data: bytes) -> None:
+    def tell(self, data: bytes, to: int | None = None) -> None:
         if self.teller is not None:
-            self.teller.tell(data)
+            self.teller.tell(data, to)
 
     def watch(self) -> None:
         self.watcher.watch()
--- a/violetsaddle/net/peers.py
+++ b/violetsaddle/net/peers.py
@@ -60,11 +60,12 @@
         if self.aside is None or not self.aside(number, data):
             self._flows.heard(number, data)
 
-    def tell(self, data: bytes) -> None:
+    def tell(self, data: bytes, to: int | None = None) -> None:
+        """To one node by its number, or to all."""
         if self.transport is None or len(data) > self._limits.datagram:
             return
         self._counters.add("told")
-        for address in self._to:
+        for address in self._to if to is None else self._addresses[to:to + 1]:
             self._send(data, address)
 
     def say(self, number: int, data: bytes) -> None:
--- a/violetsaddle/policy.py
+++ b/violetsaddle/policy.py
@@ -7,7 +7,6 @@
 from __future__ import annotations
 
 import heapq
-from bisect import bisect
 from collections import Counter
 from collections.abc import Sequence
 from random import Random
@@ -25,23 +24,25 @@
 PACE_DOWN, PACE_UP, PACE_LEAST, PACE_MOST = 0.88, 1.04, 0.3, 1.0  # on the estimate: a backlog must drain
 # The 'full' window
 TIGHT_FOR = SECOND  # drawn from half to one and a half of it: schedulers must not loosen in step
-PATIENCE, KEY_PATIENCE = 0.4, 0.8  # share of the aim: a job not started by then (with a key) is late
+PATIENCE = 0.4  # share of the aim: a job not started by then is late
 PRESSURE_KEEPS = 0.92  # memory of the share of turned-away or late starts: about the last 12 jobs
 PRESSURE_TIGHT = 0.25  # above it the fleet counts as full, not just one worker, if reports show little room
 PRESSURE_SURE = 0.5  # above it the fleet counts as full whatever stale reports show
 CROWD_TIGHT = 0.65  # share of workers shown without room below which late starts are bad luck
-CROWD_STEP, FULL_STEP = 0.1, 0.25  # weight of each new one seen, and of one that answered 'full'
+CROWD_STEP = 0.1  # weight of each new one seen
+BLIND_STEP, BLIND_EASE = 0.2, 0.05  # weight of each late start where nothing was known; of the crowd, a tick
 # Choice
-DRAWS, MOST_AHEAD = 24, 8  # tries to draw an acceptable worker before taking what comes; probed ahead
-FRESH = 2 * SECOND  # a load report older than this says nothing of now
+DRAWS, LOOKS = 24, 8  # tries to draw an acceptable worker before taking what comes; looks in a group
 FULL_REST = SECOND // 4  # a worker that was full is left alone so long
+ABSENT = 10 * SECOND  # a scheduler silent for so long has no part in the budget of a cold worker
 TOLD_FOR, ILL_TOLD = 3 * SECOND, 2 * SECOND  # a peer lives so long after its last word; what it told is ill
 NARROW, MOST_WORDS = 128, 85  # workers named by 11 bits; words in one datagram (256 bytes at most)
-WORDS_WAIT, WORDS_EACH = SECOND // 50, SECOND // 400  # words gather so long, or so long for each of N
-HOME_BONUS, SILENT_NOTES, MOST_FREE = 1.15, 2.5, 1e6  # own zone in a tie; intervals of progress; slots
+LAST_SLOT = 0.25  # weight of a worker that has room for no second one: another may be on its way there
+CIRCLE, ABROAD = 16, 4  # schedulers that hear of a worker where there are more; so many in other zones
+WORDS_WAIT, WORDS_EACH = SECOND // 50, SECOND // 400  # words gather so long, or so long for each that hears
+SILENT_NOTES, MOST_FREE = 2.5, 1e6  # intervals of progress; slots
 AWAY, AWAY_CROWD = 0.05, 0.9  # weight of other zones' workers while fewer than so many are seen without room
 REPORTS_ENOUGH, PROBES_LEAST = 150, 0.1  # where peers tell their jobs, reports show little but the slots
-KEY_SPREAD, MOST_KEYS = 2.0, 4096  # homes of a key: so often its share in workers, and two; keys counted
 # Health
 SHUT_FOR, MOST_STRIKES = SECOND, 4  # first ejection, doubled by each strike up to so many
 MOST_SHUT, DOUBT = 0.3, 0.2  # share ejected at once; trust in one struck, doubled by each sign of life
@@ -119,18 +120,20 @@
 class Worker:
     """What this scheduler knows of one worker."""
 
-    __slots__ = ("id", "zone", "cell", "kind", "weight", "started", "state", "inflight", "free", "free_at",
-                 "sent_since", "strikes", "shut_until", "trust", "full_until", "cold_until", "cold", "life",
-                 "pools", "speed", "errors", "ill_until", "relapses", "mark", "told_at")
+    __slots__ = ("id", "zone", "cell", "kind", "weight", "started", "state", "inflight", "strikes",
+                 "shut_until", "trust", "full_until", "cold_until", "cold", "life",
+                 "pools", "speed", "errors", "ill_until", "relapses", "mark", "told", "told_at", "circle",
+                 "near")
 
     def __init__(self, entry: api.Entry) -> None:
         self.id, self.zone, self.cell, self.kind, self.weight, self.started, self.state = entry
         self.mark = mix(self.id, 2) & 0xFFFF  # as schedulers call it among themselves
         self.errors, self.ill_until, self.relapses = 0.0, 0, 0  # share of errors among its last outcomes
-        self.told_at = -SECOND  # when peers were last told of it
+        self.told, self.told_at = 0, -SECOND  # jobs in flight that peers were last told, and when
+        self.circle: Sequence[int] = ()  # schedulers that hear of it; all in a small tier
+        self.near = True  # this scheduler is one of them
         self.speed = 0.0  # of its runs: work hinted over time taken; 0: none seen
         self.inflight = 0  # own attempts out
-        self.free, self.free_at, self.sent_since = 0.0, -FRESH, 0.0  # last report, own slots sent since
         self.strikes, self.shut_until, self.trust, self.full_until = 0, 0, 1.0, 0
         self.cold_until, self.life = 0, 0  # until when it may be cold, and its last sign of life
         self.cold = TokenBucket(0, 0.0, 0.0)
@@ -147,16 +150,16 @@
 
 
 class Request:
-    __slots__ = ("id", "spec", "slots", "deadline", "key", "attempts", "out", "over", "streams", "patience",
+    __slots__ = ("id", "spec", "slots", "deadline", "attempts", "out", "over", "streams", "patience",
                  "hint", "cost")
 
     def __init__(self, job: str, spec: api.RequestClass, slots: float, now: int, remaining: int,
-                 key: int | None, hint: int) -> None:
-        self.id, self.spec, self.slots, self.key, self.hint, self.cost = job, spec, slots, key, hint, slots
+                 hint: int) -> None:
+        self.id, self.spec, self.slots, self.hint, self.cost = job, spec, slots, hint, slots
         self.deadline = now + remaining
         self.attempts: list[Attempt] = []
         self.out, self.over, self.streams = 0, False, False
-        self.patience = int((PATIENCE if key is None else KEY_PATIENCE) * spec.aim)
+        self.patience = int(PATIENCE * spec.aim)
 
     def tried(self, worker: Worker) -> bool:
         return any(a.worker is worker for a in self.attempts)
@@ -226,10 +229,8 @@
         self.told, self.act = told, act
         self.random = Random(seed).random
         self.workers: dict[int, Worker] = {}
-        self.everyone = Pool()
-        self.pools: dict[tuple[str, int], Pool] = {("any", -1): self.everyone}  # and by kind, cell and zone
-        self.ring: list[tuple[int, int]] = []  # (hash, id) of the listed workers, for keys; empty: to be made
-        self.key_counts: Counter[int] = Counter()
+        self.everyone, self.near = Pool(), Pool()  # near: those this scheduler hears of
+        self.pools: dict[tuple[str, int], Pool] = {("any", -1): self.everyone, ("near", -1): self.near}
         self.shut = 0  # workers ejected now
         self.zone_strikes, self.zone_trust = [0] * told.zones, [1.0] * told.zones
         self.requests: dict[str, Request] = {}
@@ -237,20 +238,25 @@
         shares = sum(t.share for t in told.tenants) or 1.0
         self.shares = [t.share / shares for t in told.tenants]
         self.fleet = FleetRate(told)
-        self.arrived_slots, self.own_rate, self.keys_seen = 0.0, 0.0, 0
+        self.arrived_slots, self.own_rate = 0.0, 0.0
         self.largest = 1.0  # slots of the largest job seen
         self.pressure, self.tight_until, self.mean_hint = 0.0, 0, 0.0
+        self.blind = 0.0  # share of jobs sent to workers not near that started late
         self.crowd = 1.0  # share of workers seen without room; without reports late starts alone decide
         self.retries = RETRY_MOST / 2
-        self.ahead: list[Worker] = []
         self.alone = told.schedulers < 2 or not told.may_tell  # own jobs speak for all: N times as many
         self.peers: dict[int, int] = {told.me: -TOLD_FOR} if self.alone else {}  # when each last spoke
+        n, step = told.schedulers, max(1, told.schedulers // (CIRCLE + 1))
+        self.circles = n > CIRCLE + 1 and not self.alone
+        self.signs = [i * step for i in range(1, CIRCLE + 1)] if self.circles else list(range(1, n))
+        self.zone_of, self.zones_new = {told.me: told.zone & 0xF}, False  # zones of schedulers, as heard
         self.words: dict[tuple[int, int], tuple[int, int]] = {}  # by peer and mark: when told, jobs in flight
         self.elsewhere: Counter[int] = Counter()  # their sum by mark
         self.ill_told: dict[int, int] = {}
         self.to_tell: dict[Worker, bool] = {}  # what peers are to hear of, and whether it failed just now
-        self.spoke, self.words_wait = 0, max(WORDS_WAIT, WORDS_EACH * told.schedulers)
-        self.reports, self.mean_free = 0, 0.0  # seen, and the mean of their free slots
+        self.spoke = 0
+        self.words_wait = max(WORDS_WAIT, WORDS_EACH * min(n, CIRCLE))
+        self.reports = 0  # seen
         self.schedulers = told.schedulers
         self.speeds: dict[int, float] = {}  # mean by kind
         self.timers: list[tuple[int, int, Any, Any]] = []
@@ -259,6 +265,8 @@
         if told.must_ask:
             # A wave of restarts must not stampede discovery.
             self._after(now, int(WATCH_SPREAD * self.random()), self._watch, None)
+        if self.circles:
+            self._after(now, self.words_wait, lambda *_: self._say(None, True), None)
 
     def _after(self, now: int, wait: int, what: Any, about: Any) -> None:
         at = now + max(1, wait)
@@ -283,11 +291,14 @@
         told = self.told
         self.own_rate += 0.4 * (self.arrived_slots / TICK - self.own_rate)
         self.arrived_slots = 0.0
+        self.blind += BLIND_EASE * (self.crowd - self.blind)
         ready = {number: len(p.items) for (what, number), p in self.pools.items() if what == "kind"}
         jam = self.pressure > PRESSURE_SURE or (now < self.tight_until and not self.fleet.by_reports)
         # N as heard: who tells nothing is down, and its clients come here.  None heard yet: N as told.
-        heard = sum(now - at < TOLD_FOR for at in self.peers.values())
-        self.schedulers = 1 + heard if self.peers and not self.alone else told.schedulers
+        heard = sum(now - self.peers.get((told.me - i) % told.schedulers, -TOLD_FOR) < TOLD_FOR
+                    for i in self.signs)
+        if self.peers and not self.alone:
+            self.schedulers = round(told.schedulers * (1 + heard) / (1 + len(self.signs)))
         rate = self.fleet.estimate(ready, jam, self.own_rate * self.schedulers)
         if rate is not None:
             for bucket, share in zip(self.buckets, self.shares):
@@ -304,12 +315,34 @@
                 self._tell(now, worker)
             if worker.speed:
                 worker.speed += SPEED_EASE * (self.speeds.get(worker.kind, worker.speed) - worker.speed)
-        if not self.alone and not self.to_tell and now - self.spoke >= TICK:  # so that they count on us
+        if self.circles and now - self.spoke > TICK:
+            self.spoke = now
+            for i in self.signs:
+                self._say((told.me + i) % told.schedulers)
+        elif not self.alone and not self.to_tell and now - self.spoke >= TICK:  # so that they count on us
             self._after(now, self.words_wait, self._tell_all, None)
+        if self.zones_new:
+            self.zones_new = False
+            for worker in self.workers.values():
+                self._remove(worker)
+                self._place(now, worker)
         self._after(now, TICK, self._tick, None)
 
     # What schedulers tell each other, in words of two bytes: a worker, whether it is ill, own jobs there; as
-    # these change, and each tick while there are any.  Each of N hears each datagram, so that words gather.
+    # these change, and each tick while there are any.  Each datagram is paid for by each that hears it: in a
+    # large tier a worker's circle hears of it, 16 schedulers of its zone by hashing, and draws it first.
+
+    def _place(self, now: int, worker: Worker) -> None:
+        """Finds a worker's circle and pools."""
+        if self.circles:
+            all_ = sorted(range(self.told.schedulers), key=lambda n: mix(worker.id, n))
+            home = [n for n in all_ if self.zone_of.get(n) == worker.zone & 0xF]
+            away = [n for n in all_ if self.zone_of.get(n) != worker.zone & 0xF]
+            most = CIRCLE - min(ABROAD, len(away))
+            worker.circle = home[:most] + away[:CIRCLE - len(home[:most])]
+            worker.near = self.told.me in worker.circle
+        if worker.state == api.ACTIVE and worker.shut_until <= now:
+            self._ready(worker)
 
     def _tell(self, now: int, worker: Worker, ill: bool = False) -> None:
         if not self.alone:
@@ -318,23 +351,44 @@
             self.to_tell[worker] = ill or self.to_tell.get(worker, False)
 
     def _tell_all(self, now: int, _: None) -> None:
-        wide, data = len(self.workers) > NARROW, bytearray((len(self.workers) > NARROW,))
+        wide = len(self.workers) > NARROW
+        to: dict[int | None, bytearray] = {} if self.circles else {None: bytearray()}
         for worker in list(self.to_tell)[:MOST_WORDS]:
-            ill, worker.told_at = self.to_tell.pop(worker) or worker.ill_until > now, now
+            ill = self.to_tell.pop(worker) or worker.ill_until > now
+            if self.circles and not ill and worker.inflight == worker.told and now - worker.told_at < TICK:
+                continue  # one came as another went
+            worker.told, worker.told_at = worker.inflight, now
             word = (worker.mark if wide else worker.mark & 0x7FF) << 5 | ill << 4 | min(worker.inflight, 15)
-            data += word.to_bytes(3 if wide else 2, "big")
-        self.spoke = now
-        self.act.tell(bytes(data))
+            for number in worker.circle if self.circles else (None,):
+                to.setdefault(number, bytearray()).extend(word.to_bytes(3 if wide else 2, "big"))
+        to.pop(self.told.me, None)
+        for number, words in to.items():
+            self._say(number, False, bytes(words))
+        self.spoke = self.spoke if self.circles else now
         if self.to_tell:
             self._after(now, self.words_wait, self._tell_all, None)
 
+    def _say(self, to: int | None, asks: bool = False, words: bytes = b"") -> None:
+        """To one peer, or to all; in a large tier with the own zone, and whether theirs are asked for."""
+        wide = len(self.workers) > NARROW
+        head = wide | asks << 1 | (self.told.zone & 0xF) << 2 | 0x80 if self.circles else wide
+        self.act.tell(bytes((head,)) + words, to)
+
     def heard(self, now: int, origin: int, data: bytes) -> None:
         """A peer's words; they may be late, lost, out of order, or no words at all."""
-        wide, size = len(self.workers) > NARROW, 2 + data[0] if data and data[0] < 2 else 0
         known = 0 <= origin < self.told.schedulers and origin != self.told.me
-        if not known or not size or len(data) % size != 1:
+        if not known or not data or not (data[0] < 2 or data[0] & 0x80 and self.circles):
+            return
+        wide, size = len(self.workers) > NARROW, 2 + (data[0] & 1)
+        if len(data) % size != 1:
             return
         self.peers[origin] = now
+        if data[0] & 0x80:
+            zone = data[0] >> 2 & 0xF
+            self.zones_new |= self.zone_of.get(origin) != zone
+            self.zone_of[origin] = zone
+            if data[0] & 2:
+                self._say(origin)
         for at in range(1, len(data) if size >= 2 + wide else 0, size):
             word = int.from_bytes(data[at:at + size], "big")
             mark, jobs = (word >> 5) & (0xFFFF if wide else 0x7FF), word & 0xF
@@ -373,7 +427,7 @@
         for (what, number), pool in list(self.pools.items()):
             if what == "cell" and not pool.items:
                 del self.pools[what, number]  # cells come and go with their workers
-            elif what in ("any", "kind"):
+            elif what in ("any", "near", "kind"):
                 pool.top = max([w.weight for w in pool.items], default=0.0)
 
     def _entry(self, now: int, entry: api.Entry) -> None:
@@ -384,7 +438,6 @@
             return
         if worker is None:
             worker = self.workers[entry.worker] = Worker(entry)
-            self.ring.clear()
             self._start(now, worker)
         elif (worker.started != entry.started or worker.state != entry.state or worker.cell != entry.cell
               or worker.zone != entry.zone or worker.kind != entry.kind):
@@ -396,12 +449,11 @@
         else:
             worker.weight = entry.weight
             return
-        if worker.state == api.ACTIVE and worker.shut_until <= now:
-            self._ready(worker)
+        self._place(now, worker)
 
     def _start(self, now: int, worker: Worker) -> None:
         """A worker seen for the first time, or restarted under its old id: may be cold."""
-        worker.strikes, worker.trust, worker.free_at, worker.life = 0, 1.0, -FRESH, 0
+        worker.strikes, worker.trust, worker.life = 0, 1.0, 0
         self._open(worker)
         worker.cold_until = min(worker.started, now) + self.told.cold_for if worker.started else 0
         if worker.cold_until > now:
@@ -413,12 +465,12 @@
         self._open(worker)
         self._remove(worker)
         worker.state = api.GONE
-        self.ring.clear()
         del self.workers[worker.id]
 
     def _ready(self, worker: Worker) -> None:
         if not worker.pools:
-            names = (("any", -1), ("kind", worker.kind), ("cell", worker.cell), ("zone", worker.zone))
+            names = [("any", -1), ("kind", worker.kind), ("cell", worker.cell), ("zone", worker.zone)]
+            names += [("near", -1)] * worker.near
             worker.pools = tuple(self.pools.setdefault(name, Pool()) for name in names)
             for pool in worker.pools:
                 pool.add(worker)
@@ -466,8 +518,11 @@
         if self.zone_strikes[zone] >= ZONE_STRIKES:
             self.zone_trust[zone] = ZONE_DOUBT
 
-    def _press(self, now: int, bad: bool) -> None:
+    def _press(self, now: int, bad: bool, worker: Worker) -> None:
         """One 'full' is one worker; the fleet is full when a good part of what was sent waits."""
+        if not worker.near:  # drawn blind: this says what such a draw is worth, and nothing of the fleet
+            self.blind += BLIND_STEP * (bad - self.blind)
+            return
         self.pressure *= PRESSURE_KEEPS
         if bad:
             self.pressure += 1.0 - PRESSURE_KEEPS
@@ -479,15 +534,10 @@
                         bucket.tokens = min(bucket.tokens, self.largest * self.random())
                 self.tight_until = now + int(TIGHT_FOR * (0.5 + self.random()))
 
-    def _seen(self, crowded: bool, step: float = CROWD_STEP) -> None:
-        self.crowd += step * (crowded - self.crowd)
-
     def _report(self, now: int, worker: Worker, report: api.Report) -> None:
         if (free := report.get("free_slots")) is None or not abs(free) < MOST_FREE:
             return
-        worker.free, worker.free_at, worker.sent_since = free, now, 0.0
         self.reports += 1
-        self.mean_free += 0.05 * (free - self.mean_free)
         self.fleet.most_free[worker.kind] = max(free, self.fleet.most_free.get(worker.kind, 0.0))
 
     def _cold_allows(self, now: int, worker: Worker, cost: float) -> float:
@@ -500,6 +550,13 @@
         saved = COLD_SAFETY * told.fall_multiple * share * COLD_SAVED / max(1, len(self.everyone.items))
         whole = saved * (self.fleet.rate / self.schedulers if self.fleet.rate else self.own_rate)
         saved = min(whole, saved * self.own_rate)  # own traffic says too much where most of it is refused
+        if self.circles:  # a slice is under one job: whole jobs go to a few, the first of its circle alive
+            owners = max(1, int(whole * self.schedulers / self.largest))
+            alive = [n for n in worker.circle if n == told.me or now - self.peers.get(n, -ABSENT) < ABSENT]
+            # Who hears next to nobody must not take it that it is the last one there.
+            if told.me not in (alive if len(alive) > CIRCLE // 4 else worker.circle)[:owners]:
+                return 0.0
+            saved = whole = whole * self.schedulers / owners
         bucket.rate, bucket.burst = saved / COLD_SAVED, max(self.largest, saved)
         return share if bucket.tokens >= cost else -share * (bucket.tokens >= self.largest and cost <= whole)
 
@@ -507,7 +564,7 @@
         """A random ready worker, by weight; rejection keeps it O(1)."""
         random, items, top, trust = self.random, pool.items, pool.top, self.zone_trust
         n, home, spare, least, debtor = len(items), self.told.zone, None, float("inf"), None
-        away = AWAY if self.crowd < AWAY_CROWD else 1.0
+        away = AWAY if self.crowd < AWAY_CROWD and (pool is not self.everyone or not self.circles) else 1.0
         for _ in range(DRAWS if n else 0):
             worker = items[int(random() * n)]
             weight = worker.weight * trust[worker.zone] * worker.trust
@@ -522,6 +579,7 @@
                 debtor = worker if weight < 0.0 else debtor
                 continue
             load = self._load(now, worker, slots)
+            weight *= LAST_SLOT if self.circles and load == 0.0 else 1.0
             if random() * top <= weight and load <= 0.0:
                 return worker
             # Doubt in all of them must not leave a request without a worker: the least bad one met.
@@ -530,91 +588,42 @@
                 least, spare = badness, worker
         return spare or (debtor if request is not None else None)
 
-    def _appeal(self, now: int, worker: Worker) -> float:
-        """Breaks ties of own jobs in flight: size, what was reported, the own zone."""
-        appeal = worker.weight * worker.trust * self.zone_trust[worker.zone]
-        if now - worker.free_at < FRESH:
-            appeal *= (1.0 + max(0.0, worker.free - worker.sent_since)) / (1.0 + self.mean_free)
-        return appeal * HOME_BONUS if worker.zone == self.told.zone else appeal
-
     def _choose(self, now: int, request: Request) -> Worker | None:
         """Of two random ready workers, the one with fewer own jobs in flight."""
         spec = request.spec
-        pool = self.everyone if spec.worker_kind < 0 else self.pools.get(("kind", spec.worker_kind), Pool())
+        pool = self.near if spec.worker_kind < 0 else self.pools.get(("kind", spec.worker_kind), Pool())
         risky = next((a for a in request.attempts if a.may_have_run), None)
         if risky is not None and spec.effect == api.KEYED and spec.group != "all":
             return self._choose_in_group(now, request, risky)
-        if request.key is not None and spec.worker_kind < 0 and not request.attempts:
-            if (home := self._home(now, request, request.key)) is not None:
-                return home
-        first = self._ahead(now, request) or self._draw(now, pool, request.slots, request)
-        second = self._ahead(now, request) or self._draw(now, pool, request.slots, request)
-        if first is None or second is None:
-            return first or second
-        return self._better(now, first, second)
-
-    def _better(self, now: int, first: Worker, second: Worker) -> Worker:
-        if first.inflight != second.inflight:
-            return first if first.inflight < second.inflight else second
-        return first if self._appeal(now, first) >= self._appeal(now, second) else second
+        first = self._draw(now, pool, request.slots, request)
+        second = self._draw(now, pool, request.slots, request)
+        best = second if first is None or second and second.inflight < first.inflight else first
+        if self.circles and pool is self.near and (
+                best is None or self._load(now, best, request.slots) > max(self.crowd, self.blind)):
+            # Of the others nothing is known but how such draws went, and how crowded those near are.
+            best = self._draw(now, self.everyone, request.slots, request) or best
+        return best
 
     def _load(self, now: int, worker: Worker, slots: float) -> float:
         """How far a worker is from starting a job at once: above 0, it would wait there or come back."""
         busy, ill = self._busy(now, worker)
         load = 8.0 * ill + 4.0 * (worker.full_until > now)
-        if self.peers and (most := round(self.fleet.most_free.get(worker.kind, 0.0))):
-            return load + max(0.0, busy + slots - most) / most
-        if now - worker.free_at < FRESH and worker.free - worker.sent_since < slots:
-            load += 1.0
+        if worker.near and self.peers and (most := round(self.fleet.most_free.get(worker.kind, 0.0))):
+            load += max(-1.0 if self.circles else 0.0, (busy + slots - most) / most)
         return load
 
-    def _home(self, now: int, request: Request, key: int) -> Worker | None:
-        """One of the key's homes, the same at every scheduler; as many as its share of the traffic takes."""
-        ring = self.ring
-        if not self.workers:
-            return None
-        if not ring:
-            ring.extend(sorted((mix(w, 0), w) for w in self.workers))
-        if len(self.key_counts) > MOST_KEYS:
-            self.key_counts.clear()
-            self.keys_seen = 0
-        homes = 2 + int(KEY_SPREAD * self.key_counts[key] / (self.keys_seen + 10) * len(ring))
-        self.key_counts[key] += 1
-        self.keys_seen += 1
-        best, at = None, int(self.random() * homes)
-        for step in range(2):
-            place = bisect(ring, (mix(key, 1 + (at + step) % homes), 0)) % len(ring)
-            worker = self.workers[ring[place][1]]
-            chance = worker.trust
-            if worker.cold_until > now:
-                chance *= self._cold_allows(now, worker, request.cost)
-            if worker.pools and self.random() < chance and self._load(now, worker, request.slots) <= 0.0:
-                best = worker if best is None else self._better(now, best, worker)
-        return best
-
     def _choose_in_group(self, now: int, request: Request, risky: Attempt) -> Worker | None:
         group, kind = request.spec.group, request.spec.worker_kind
         items = self.pools.get((group, getattr(risky, group)), Pool()).items
         at, best = int(self.random() * len(items)), None
-        for worker in (items[at:] + items[:at])[:MOST_AHEAD]:
+        for worker in (items[at:] + items[:at])[:LOOKS]:
             if (same_group(request, worker) and kind in (-1, worker.kind) and not request.tried(worker)
                     and worker.cold_until <= now and (best is None or worker.inflight < best.inflight)):
                 best = worker
         return best
 
-    def _ahead(self, now: int, request: Request) -> Worker | None:
-        """A worker drawn and probed before, if it is still ready and not shown full."""
-        while self.ahead and not request.attempts and request.spec.worker_kind < 0:
-            worker = self.ahead.pop()
-            if (worker.pools and worker.cold_until <= now and now - worker.free_at < FRESH
-                    and worker.free - worker.sent_since >= request.slots
-                    and self._load(now, worker, request.slots) <= 0.0
-                    and self.zone_trust[worker.zone] == 1.0):
-                return worker
-        return None
-
-    def _probe_ahead(self, now: int) -> None:
-        """Draws the next two workers early and asks them, where reports come by probes only."""
+    def _ask_two(self, now: int) -> None:
+        """Probes two workers as they would be drawn, where reports come by probes only."""
         for worker in (self._draw(now, self.everyone, 1.0, None), self._draw(now, self.everyone, 1.0, None)):
             if worker is not None:
                 self.act.probe(worker.id)
@@ -626,16 +635,16 @@
             raise api.EventError(f"request {job}: class {cls} or tenant {tenant} is not in the settings")
         if job in self.requests:
             raise api.EventError(f"request {job} is known already")
-        request = Request(job, self.told.classes[cls], slots, now, remaining, key, hint)
+        request = Request(job, self.told.classes[cls], slots, now, remaining, hint)
         if hint:  # what a cold worker is pushed over by is work, not jobs
             self.mean_hint += HINT_STEP * (hint - self.mean_hint) if self.mean_hint else hint
             request.cost = slots * hint / self.mean_hint
         bucket = self.buckets[tenant]
         self.arrived_slots += slots
         self.retries = min(RETRY_MOST, self.retries + RETRY_SHARE)
-        if self.peers and self.everyone.items:
-            items = self.everyone.items
-            self._seen(self._load(now, items[int(self.random() * len(items))], 1.0) > 0.0)
+        if self.peers and (items := self.near.items):
+            crowded = self._load(now, items[int(self.random() * len(items))], 1.0) > 0.0
+            self.crowd += CROWD_STEP * (crowded - self.crowd)
         self.largest = max(self.largest, slots)
         bucket.burst = max(LEAST_BURST, self.largest)
         if not bucket.take(now, slots) and now < self.tight_until:
@@ -644,7 +653,7 @@
         self._push(now, request)
         if self.told.may_probe and self.told.report_by_probe and (
                 not self.peers or self.random() < PROBES_LEAST or self.reports < REPORTS_ENOUGH):
-            self._probe_ahead(now)
+            self._ask_two(now)
 
     def _advice(self, wait: int) -> int:
         return min(wait, self.told.most_advice) if self.told.may_advise else 0
@@ -660,9 +669,10 @@
         request.attempts.append(attempt)
         request.out += 1
         worker.inflight += 1
-        worker.sent_since += request.slots
         self.act.send(request.id, worker.id, 0)
         self._tell(now, worker)
+        if self.circles:  # each 10 ms that a start is not known brings 5 % more of late ones
+            self._tell_all(now, None)
         if self.told.tells_start:
             self._after(now, request.patience, self._check, (request.id, attempt.number, request.deadline))
         return True
@@ -711,7 +721,7 @@
         elif not attempt.late:
             attempt.late = True
             if worker.trust == 1.0:  # a hung worker says nothing of the fleet
-                self._press(now, True)
+                self._press(now, True, worker)
             # Where most start late the fleet is full: a late start there is no evidence against one worker.
             if worker.life <= attempt.sent and self.pressure < PRESSURE_TIGHT:
                 self._strike(now, worker)
@@ -736,7 +746,7 @@
         if what == api.STARTED and not attempt.started:
             attempt.started = now
             if not attempt.late:
-                self._press(now, False)
+                self._press(now, False, attempt.worker)
             if self.told.progress_every:
                 self._after(now, 3 * self.told.progress_every, self._check, (job, number, request.deadline))
 
@@ -788,7 +798,7 @@
                 self._ran(worker, request.hint / max(1, now - attempt.started))
             self.fleet.ran(request.slots, now - attempt.started if attempt.started else latency)
             if not self.told.tells_start:
-                self._press(now, False)
+                self._press(now, False, worker)
         elif outcome == api.ERROR:
             # What fails at once looks idle and would draw the most work of all.
             worker.errors += ERROR_STEP * (1.0 - worker.errors)
@@ -799,10 +809,8 @@
                 self._tell(now, worker)
         elif outcome == api.FULL:
             worker.full_until = now + FULL_REST
-            if attempt.number:  # also elsewhere: not one worker, nor one key's homes
-                self._seen(True, FULL_STEP)
             self._alive(now, worker)
-            self._press(now, True)
+            self._press(now, True, worker)
         elif outcome == api.CONNECT_FAILED or outcome == api.RESET:
             self._tell(now, worker, True)  # each scheduler would find out by requests of its own
             self._zone_strike(worker.zone)
@@ -829,9 +837,6 @@
             self._hold(now, request, RETRY_WAIT << min(tries - 2, 4))
 
     def probed(self, now: int, worker_id: int, ok: bool, report: api.Report | None) -> None:
-        """What a probe brought; its candidate waits for the next request."""
         worker = self.workers.get(worker_id)
         if worker is not None and ok and report:
             self._report(now, worker, report)
-            self.ahead.append(worker)
-            del self.ahead[:-MOST_AHEAD]
