Test N wrong by half either way, and a real server at another's old address

Change. 60 nodes of which half are not heard for 6 s: N is counted between 25 and 42 and whole again 3 s later; half killed: N stands for a second and is between 24 and 42 after 4 s. A real server listed at the address of one that was removed: its callbacks and those of the old one are told apart by name, and both flows end with their own result.

--- a/tests/test_attacked.py
+++ b/tests/test_attacked.py
@@ -103,6 +103,33 @@
             s expect X-Txn: a
         """)
 
+    def test_a_real_server_that_took_the_address_of_another_is_another(self) -> None:
+        self.start({"discovery": "ask"}, servers=1)
+        self.where["s-9"] = self.where["s-1"]
+
+        def call(job: str, origin: str, result: str) -> str:
+            body = json.dumps({"id": job, "from": origin, "state": "done", "result": result})
+            return f"k send POST /callback | | {body}\nk expect 204"
+
+        self.play(f"""
+            d expect GET /discovery/hosts
+            d send list 2 s-1=up
+            d expect after=2
+            c send job a quote
+            s expect X-Txn: a
+            s send 202
+            d send list 3 s-1=removed s-9=up
+            d expect after=3
+            c2 send job b quote
+            s expect X-Txn: b
+            s send 202
+            {call("b", "s-1", "old")}
+            {call("b", "s-9", "present")}
+            c2 expect 200 | present
+            {call("a", "s-1", "first")}
+            c expect 200 | first
+        """)
+
     def test_a_real_server_that_moves_leaves_what_is_out_at_its_old_place(self) -> None:
         self.start({"discovery": "ask"}, servers=1)
         new = listener()
--- a/tests/test_large_tier.py
+++ b/tests/test_large_tier.py
@@ -104,3 +104,25 @@
     near = {w.id for w in seat.balancer.near.items}
     assert not mesh.refused and near <= set(sent)
     assert max(sent.count(worker) for worker in near) < 4 * len(sent) / len(near)
+
+
+def test_n_wrong_by_half_for_seconds_either_way() -> None:
+    mesh = Mesh(60, fleet(40))
+    mesh.run(4 * SECOND)
+    heard = [s.balancer for s in mesh.seats]
+
+    def counted_by(some: range) -> float:
+        return sum(heard[n].schedulers for n in some) / len(some)
+
+    mesh.lost = lambda origin, to: origin % 2 == 1  # half seem gone: slices double, and no more than that
+    mesh.run(10 * SECOND)
+    assert 25 < counted_by(range(60)) < 42
+    mesh.lost = lambda origin, to: False
+    mesh.run(13 * SECOND)
+    assert counted_by(range(60)) == 60
+    for seat in mesh.seats[::2]:  # half are gone: slices are half of what they may be until it shows
+        seat.up = False
+    mesh.run(14 * SECOND)
+    assert counted_by(range(1, 60, 2)) > 50
+    mesh.run(18 * SECOND)
+    assert 24 < counted_by(range(1, 60, 2)) < 42
