Test of a stalled old process: wait until it has stopped before it is let go on

The old process stops itself at a step; where it reached that step later than 1.1 s after the successor served, SIGCONT came before its stop and was lost, so that it never went on.

The test waits for the state T first, as its neighbour does.

Passes three times of three with and without other work; the program is unchanged.

--- a/tests/test_upgrade.py
+++ b/tests/test_upgrade.py
@@ -292,6 +292,7 @@
     def test_a_stall_of_the_old_process_is_not_the_successors_fault(self) -> None:
         self.begin(stepped="old go-is-out 1 stop")
         self.play("node send USR2\nnode expect is to follow\n" + serves("c", "a"))
+        self.until(self.program.pid, "T")  # on a busy machine it may not have stopped yet: CONT would be lost
         time.sleep(1.1)  # longer than the successor has to say that it serves
         self.play("node send CONT\nnode expect drains\nc send GET /up\nc expect 200")
 
