--- a/violetsaddle/policy.py
+++ b/violetsaddle/policy.py
@@ -247,15 +247,14 @@
         self.peers: dict[int, int] = {told.me: -TOLD_FOR} if self.alone else {}  # when each last spoke
         n, step = told.schedulers, max(1, told.schedulers // (CIRCLE + 1))
         self.circles = n > CIRCLE + 1 and not self.alone
-        signs = [i * step for i in range(1, CIRCLE + 1)] if self.circles else list(range(1, n))
+        self.signs = [i * step for i in range(1, CIRCLE + 1)] if self.circles else list(range(1, n))
         self.zone_of, self.zones_new = {told.me: told.zone & 0xF}, False  # zones of schedulers, as heard
         self.words: dict[tuple[int, int], tuple[int, int]] = {}  # by peer and mark: when told, jobs in flight
         self.elsewhere: Counter[int] = Counter()  # their sum by mark
         self.ill_told: dict[int, int] = {}
         self.to_tell: dict[Worker, bool] = {}  # what peers are to hear of, and whether it failed just now
-        self.signs_to, self.signs_from = ([(told.me + sign * i) % n for i in signs] for sign in (1, -1))
-        self.sure_from = CROWD_TIGHT if self.circles else -1.0  # where words are fresh pressure needs a crowd
-        self.spoke, self.words_wait = 0, max(WORDS_WAIT, WORDS_EACH * min(n, CIRCLE))
+        self.spoke = 0
+        self.words_wait = max(WORDS_WAIT, WORDS_EACH * min(n, CIRCLE))
         self.reports = 0  # seen
         self.schedulers = told.schedulers
         self.speeds: dict[int, float] = {}  # mean by kind
@@ -292,12 +291,12 @@
         self.own_rate += 0.4 * (self.arrived_slots / TICK - self.own_rate)
         self.arrived_slots = 0.0
         ready = {number: len(p.items) for (what, number), p in self.pools.items() if what == "kind"}
-        jam = self.pressure > PRESSURE_SURE and self.crowd > self.sure_from
-        jam |= now < self.tight_until and not self.fleet.by_reports
+        jam = self.pressure > PRESSURE_SURE or (now < self.tight_until and not self.fleet.by_reports)
         # N as heard: who tells nothing is down, and its clients come here.  None heard yet: N as told.
-        heard = sum(now - self.peers.get(n, -TOLD_FOR) < TOLD_FOR for n in self.signs_from)
+        heard = sum(now - self.peers.get((told.me - i) % told.schedulers, -TOLD_FOR) < TOLD_FOR
+                    for i in self.signs)
         if self.peers and not self.alone:
-            self.schedulers = round(told.schedulers * (1 + heard) / (1 + len(self.signs_to)))
+            self.schedulers = round(told.schedulers * (1 + heard) / (1 + len(self.signs)))
         rate = self.fleet.estimate(ready, jam, self.own_rate * self.schedulers)
         if rate is not None:
             for bucket, share in zip(self.buckets, self.shares):
@@ -316,9 +315,8 @@
                 worker.speed += SPEED_EASE * (self.speeds.get(worker.kind, worker.speed) - worker.speed)
         if self.circles and now - self.spoke > TICK:
             self.spoke = now
-            unknown = sorted(set(range(told.schedulers)) - self.zone_of.keys())  # lost, or not up as we asked
-            for n in self.signs_to + unknown[:4 * CIRCLE]:
-                self._say(n, n not in self.zone_of)
+            for i in self.signs:
+                self._say((told.me + i) % told.schedulers)
         elif not self.alone and not self.to_tell and now - self.spoke >= TICK:  # so that they count on us
             self._after(now, self.words_wait, self._tell_all, None)
         if self.zones_new:
@@ -385,7 +383,8 @@
             return
         self.peers[origin] = now
         if data[0] & 0x80:
-            self.zones_new |= self.zone_of.get(origin) != (zone := data[0] >> 2 & 0xF)
+            zone = data[0] >> 2 & 0xF
+            self.zones_new |= self.zone_of.get(origin) != zone
             self.zone_of[origin] = zone
             if data[0] & 2:
                 self._say(origin)
@@ -525,8 +524,7 @@
         self.pressure *= PRESSURE_KEEPS
         if bad:
             self.pressure += 1.0 - PRESSURE_KEEPS
-            crowd_least = self.sure_from if self.pressure > PRESSURE_SURE else CROWD_TIGHT
-            if self.pressure > PRESSURE_TIGHT and self.crowd > crowd_least:
+            if self.pressure > PRESSURE_TIGHT and (self.crowd > CROWD_TIGHT or self.pressure > PRESSURE_SURE):
                 if now >= self.tight_until:
                     for bucket in self.buckets:
                         # N bursts saved up in quiet are seconds of the fleet's work: void once it is full.
