Count late starts by cause, work sent to cold real servers and the age of the list

Change. net/tally.py notes at each send what the module could see (cold, blind, crowded, abroad, else stale) and counts it if the start takes longer than the module's own patience, once; sends to cold real servers, and those beyond the node's part of the budget; discovery.py keeps the longest time without word from discovery. Nothing of it changes a decision.

--- a/tests/test_node.py
+++ b/tests/test_node.py
@@ -355,6 +355,8 @@
             s expect X-Txn: b
             c expect 503 | Retry-After
             s expect DELETE /jobs/b
+            node send USR1
+            node expect counters | late_stale=2
         """)
 
     def test_a_client_gone_ends_its_scheduling(self) -> None:
@@ -595,7 +597,7 @@
             d send list 2 s-1=up
             d expect after=2
             node send USR1
-            node expect counters | watch_broken=2 | lists_error=2
+            node expect counters | watch_broken=2 | lists_error=2 | list_age_most_ms=
         """)
         self.assertLess(time.monotonic() - begun, 10)
 
--- /dev/null
+++ b/tests/test_tally.py
@@ -0,0 +1,66 @@
+"""Late starts by cause, and what is counted of cold real servers."""
+
+from __future__ import annotations
+
+import pytest
+
+from tests.helpers import CLASSES, MS, SECOND, make
+from violetsaddle import Entry
+from violetsaddle.net.counters import Counters
+from violetsaddle.net.flows import Scheduling
+from violetsaddle.net.tally import Tally
+
+AIM = CLASSES[0].aim
+
+
+def scheduling(server: int = 1, sent: int = SECOND) -> Scheduling:
+    return Scheduling(0, "a", 0, server, sent, False)
+
+
+@pytest.mark.parametrize("cause", ["stale", "crowded", "blind", "cold", "abroad"])
+def test_a_late_start_is_counted_once_by_what_could_be_seen(cause: str) -> None:
+    balancer, _ = make(zones=2, zone=1, schedulers=3, may_tell=True, cold_from=0.2, cold_for=9 * SECOND)
+    balancer.members(0, "snapshot", [Entry(1, zone=int(cause != "abroad"),
+                                           started=SECOND // 2 if cause == "cold" else 0)])
+    balancer.peers[1] = 0
+    balancer.crowd, balancer.fleet.most_free[0] = (0.9 if cause == "crowded" else 0.1), 1.0
+    balancer.workers[1].near = cause != "blind"
+    counters = Counters("n")
+    tally, one = Tally(balancer, counters), scheduling()
+    tally.sent(one)
+    tally.over(one, AIM, SECOND + AIM)
+    tally.over(one, AIM, SECOND + 2 * AIM)
+    assert counters.get("late_" + cause) == 1
+    assert sum(counters.get("late_" + c) for c in ("stale", "crowded", "blind", "cold", "abroad")) == 1
+    assert counters.get("sent_cold") == (cause == "cold")
+
+
+def test_a_start_in_time_is_not_counted_and_its_late_end_is_none() -> None:
+    balancer, _ = make()
+    counters = Counters("n")
+    tally, one = Tally(balancer, counters), scheduling()
+    tally.sent(one)
+    tally.over(one, AIM, SECOND + 10 * MS)
+    tally.over(one, AIM, 5 * SECOND)
+    assert counters.get("late_stale") == 0
+
+
+def test_what_a_cold_real_server_gets_beyond_its_budget_is_counted() -> None:
+    balancer, _ = make(cold_from=0.2, cold_for=9 * SECOND)
+    balancer.members(0, "snapshot", [Entry(1, started=SECOND // 2)])
+    counters = Counters("n")
+    tally = Tally(balancer, counters)
+    balancer.workers[1].cold.tokens = 0.5
+    tally.sent(scheduling())
+    balancer.workers[1].cold.tokens = -0.5
+    tally.sent(scheduling())
+    assert (counters.get("sent_cold"), counters.get("sent_cold_over")) == (2, 1)
+
+
+def test_one_that_has_left_the_list_meanwhile_is_stale() -> None:
+    balancer, _ = make()
+    counters = Counters("n")
+    tally, one = Tally(balancer, counters), scheduling(server=99)
+    tally.sent(one)
+    tally.over(one, AIM, 3 * SECOND)
+    assert counters.get("late_stale") == 1
--- a/violetsaddle/net/counters.py
+++ b/violetsaddle/net/counters.py
@@ -33,6 +33,10 @@
     def add(self, what: str) -> None:
         self._counts[what] += 1
 
+    def most(self, what: str, value: int) -> None:
+        """Keeps the largest of the values told."""
+        self._counts[what] = max(self._counts[what], value)
+
     def get(self, what: str) -> int:
         return self._counts[what]
 
--- a/violetsaddle/net/discovery.py
+++ b/violetsaddle/net/discovery.py
@@ -51,6 +51,7 @@
         self._round = 0  # a watch that was moved away must not speak for the present one
         self._stopped = False
         self._doubt = False  # the last call failed
+        self._asked = deadlines.now()  # when the list held was last known to hold
         self.seen: list[Callable[[Any, str], object]] = []  # hear of each list taken in, and from where
 
     def take(self, told: Any, kind: str | None = None) -> None:
@@ -73,6 +74,8 @@
                 raise
             raise BadList(f"{type(error).__name__}: {error}") from None
         self._version = version
+        if kind is None:
+            self._counters.most("list_age_most_ms", (self._deadlines.now() - self._asked) // MS)
         for hears in self.seen:
             hears(told, f"{self._host}:{self._port}")
         self._servers.listed(addresses, gone, whole)
@@ -151,7 +154,7 @@
                     break
                 held = self._version
                 self.take(json.loads(bytes(answer.body)))
-                self._doubt = False
+                self._doubt, self._asked = False, self._deadlines.now()
                 if self._version == held:
                     # Guards against a discovery that answers at once with nothing new: it must not spin.
                     await self._pause()
--- a/violetsaddle/net/flows.py
+++ b/violetsaddle/net/flows.py
@@ -17,6 +17,7 @@
 from violetsaddle.net.deadlines import Deadline, Deadlines
 from violetsaddle.net.limits import Limits
 from violetsaddle.net.slots import SlotTable
+from violetsaddle.net.tally import Tally
 from violetsaddle.policy import Balancer
 
 T = TypeVar("T")
@@ -54,7 +55,7 @@
     """One attempt of a flow at a real server."""
 
     __slots__ = ("flow", "job", "number", "server", "sent", "ended", "late", "ticket", "written", "accepted",
-                 "name", "once", "real")
+                 "name", "once", "real", "doubt")
 
     def __init__(self, flow: int, job: str, number: int, server: int, sent: int, once: bool) -> None:
         self.once = once  # if it breaks off, no other may follow
@@ -66,6 +67,7 @@
         self.accepted = False  # a 202 came
         self.name = ""  # the real server's, as in its callbacks
         self.real: object = None  # what its carrier knows it by: the list may have dropped it meanwhile
+        self.doubt = ""  # why it would start late, as far as could be seen (`Tally`)
 
 
 class Carrier(Protocol):
@@ -96,10 +98,11 @@
 
 
 class Flow:
-    __slots__ = ("number", "job", "order", "asker", "deadline", "schedulings", "guard", "late", "once")
+    __slots__ = ("number", "job", "order", "asker", "deadline", "schedulings", "guard", "late", "once", "aim")
 
-    def __init__(self, job: str, order: Order, asker: Asker, deadline: int, once: bool) -> None:
-        self.once = once  # it must not run twice
+    def __init__(self, job: str, order: Order, asker: Asker, deadline: int, spec: api.RequestClass) -> None:
+        self.once = spec.effect == api.UNSAFE  # it must not run twice
+        self.aim = spec.aim
         self.number, self.job, self.order, self.deadline = -1, job, order, deadline
         self.asker: Asker | None = asker  # None: the final answer is given
         self.schedulings: list[Scheduling] = []
@@ -129,6 +132,7 @@
         self.elsewhere: set[str] = set()  # ids of flows that are open in another process of this node
         self.on_id: Callable[[str, bool], None] | None = None  # told of each id taken in, and when it is over
         self._balancer = decider(told, seed, deadlines.now(), self)
+        self._tally = Tally(self._balancer, counters) if isinstance(self._balancer, Balancer) else None
 
     def __len__(self) -> int:
         return len(self._table)
@@ -181,7 +185,7 @@
             remaining = max(1, min(remaining, self.last_word - now))
         # The module's time ends a little before the client's: the answer needs some to arrive.
         given = remaining - min(self._limits.answer_margin, remaining // 10)
-        flow = Flow(job, order, asker, now + given, self._told.classes[index].effect == api.UNSAFE)
+        flow = Flow(job, order, asker, now + given, self._told.classes[index])
         number = flow.number = self._table.put(flow)
         self._by_job[job] = number
         if self.on_id is not None:
@@ -256,6 +260,9 @@
 
     def noted(self, scheduling: Scheduling, what: int, amount: float) -> None:
         if not scheduling.ended:
+            flow = self._table.get(scheduling.flow)
+            if self._tally is not None and flow is not None and what == api.STARTED:
+                self._tally.over(scheduling, flow.aim, self._deadlines.now())
             self._tell(lambda: self._balancer.note(
                 self._deadlines.now(), scheduling.job, scheduling.number, what, amount))
 
@@ -275,6 +282,8 @@
         if flow is None:
             return
         flow.late = outcome == api.TIMEOUT
+        if self._tally is not None:
+            self._tally.over(scheduling, flow.aim, self._deadlines.now())
         if outcome != api.OK:
             self._counters.event("scheduling ended badly", flow=scheduling.job, scheduling=scheduling.number,
                                  server=scheduling.name, outcome=outcome,
@@ -347,6 +356,8 @@
             return
         scheduling.late = self._deadlines.add(until, lambda: self._expired(scheduling))
         self._counters.add("schedulings")
+        if self._tally is not None:
+            self._tally.sent(scheduling)
         self.carrier.carry(scheduling, flow.order, until)
 
     def refuse(self, job: str, retry_after: int) -> None:
--- /dev/null
+++ b/violetsaddle/net/tally.py
@@ -0,0 +1,51 @@
+"""Counts what the fleet's losses are made of: late starts by cause, and what cold real servers are sent.
+
+A scheduling is late if it has not started within the module's patience with its class.  The cause is what the
+module could see as it chose: nothing here changes a decision."""
+
+from __future__ import annotations
+
+from typing import Protocol
+
+from violetsaddle.net.counters import Counters
+from violetsaddle.policy import CROWD_TIGHT, PATIENCE, Balancer
+
+
+class Begun(Protocol):
+    """Of a scheduling: its real server, when it was sent (microseconds), and what is kept here about it."""
+
+    server: int
+    sent: int
+    doubt: str
+
+
+class Tally:
+    def __init__(self, view: Balancer, counters: Counters) -> None:
+        self._view, self._counters = view, counters
+
+    def sent(self, scheduling: Begun) -> None:
+        """Called as the module sends it: its own books have the scheduling already."""
+        view = self._view
+        worker = view.workers.get(scheduling.server)
+        if worker is None:
+            scheduling.doubt = "stale"
+            return
+        if worker.cold_until > scheduling.sent:
+            scheduling.doubt = "cold"
+            self._counters.add("sent_cold")
+            if worker.cold.tokens < 0.0:
+                self._counters.add("sent_cold_over")
+        elif not worker.near:
+            scheduling.doubt = "blind"
+        elif view.crowd > CROWD_TIGHT and view.fleet.most_free:  # without sizes it says nothing
+            scheduling.doubt = "crowded"
+        elif worker.zone != view.told.zone:
+            scheduling.doubt = "abroad"
+        else:
+            scheduling.doubt = "stale"
+
+    def over(self, scheduling: Begun, aim: int, now: int) -> None:
+        """It has started, or ended without; the first call counts.  `aim`: its class's, microseconds."""
+        if scheduling.doubt and now - scheduling.sent > PATIENCE * aim:
+            self._counters.add("late_" + scheduling.doubt)
+        scheduling.doubt = ""
