Send nothing else before a real server that took the job has answered its DELETE

Of 18,650 second schedulings all but the following kind are in order (answered 204 before the next left; failed or handed back by a callback). 14 DELETEs were refused a connection three times within 100 ms, by real servers that went on to end the jobs they had: they hold only so many connections. All 14 happened to belong to flows that were over; had one been a move, the next scheduling would have left while the first ran. Ruled out: a malformed 202 (none), two schedulings of one flow at one real server (none), DELETEs before the 202 (15, none followed by another).

Lines at fault: net/servers.py _delete, which counted a DELETE as told after three lost tries or 2 s without an answer.

As long as a real server that answered 202 holds a job somebody waits for, its DELETE goes out again, each 0.3 s at the longest, until it is answered, the real server tells of the job's end, or time runs out; nothing else is sent before. Before a 202 closing the connection is enough, as the protocol has it. Once the flow is over three tries remain.

Tests: five DELETEs lost and nothing else sent until the sixth is answered; a callback taken meanwhile; a node that ends is not kept by a client that has gone. The first two fail without the change.

--- a/tests/test_node.py
+++ b/tests/test_node.py
@@ -342,6 +342,58 @@
             node expect counters | deletes=1 | deletes_again=2
         """)
 
+    def test_nothing_else_is_sent_before_one_that_took_the_job_has_answered_its_delete(self) -> None:
+        # On a joining day real servers had no room for a connection but ran the job they had: after three tries
+        # in 100 ms the next scheduling left, a second copy.
+        self.start({"familyInfo": {"tellsStart": True}})
+        self.play("""
+            c send job a quote
+            s expect POST /api | X-Txn: a
+            s send 202
+        """ + """
+            s expect DELETE /jobs/a
+            s close
+        """ * 5 + """
+            s expect DELETE /jobs/a
+            s send 204
+            s expect POST /api | X-Txn: a
+            s send 202
+            s call+ a done result=x
+            c expect 200
+            node send USR1
+            node expect counters | deletes=1 | deletes_again=5
+        """)
+
+    def test_what_ends_while_its_delete_finds_no_way_is_taken_at_its_word(self) -> None:
+        self.start({"familyInfo": {"tellsStart": True}})
+        self.play("""
+            c send job a quote
+            s expect POST /api | X-Txn: a
+            s send 202
+        """ + """
+            s expect DELETE /jobs/a
+            s close
+        """ * 4 + """
+            s call+ a done result=x
+            c expect 200
+        """)
+
+    def test_a_client_gone_does_not_keep_a_node_that_ends(self) -> None:
+        self.start({"familyInfo": {"tellsStart": True}})
+        self.play("""
+            c send job a quote
+            s expect POST /api | X-Txn: a
+            s send 202
+            s call+ a started
+            c close
+        """ + """
+            s expect DELETE /jobs/a
+            s close
+        """ * 3 + """
+            node send TERM
+            node expect exit 0
+        """)
+
     def test_time_running_out_is_answered_and_told_to_the_real_server(self) -> None:
         self.start()
         self.play("""
--- a/violetsaddle/net/flows.py
+++ b/violetsaddle/net/flows.py
@@ -266,6 +266,11 @@
             self._tell(lambda: self._balancer.note(
                 self._deadlines.now(), scheduling.job, scheduling.number, what, amount))
 
+    def waits(self, scheduling: Scheduling) -> bool:
+        """Whether somebody still waits for what becomes of it: once it ends, another may follow."""
+        flow = self._table.get(scheduling.flow)
+        return flow is not None and flow.asker is not None and not scheduling.ended
+
     def ended(self, scheduling: Scheduling, outcome: str, report: api.Report | None = None,
               result: bytes | None = None) -> None:
         """The one outcome of a scheduling; a second one is passed over."""
--- a/violetsaddle/net/servers.py
+++ b/violetsaddle/net/servers.py
@@ -465,18 +465,19 @@
                 out.callback(None)
 
         self._counters.add("deletes")
-        self._delete(server, scheduling.job, told)
+        self._delete(server, scheduling, told)
         return out
 
-    def _delete(self, server: RealServer, job: str, told: Callable[[], None], tries: int = 1) -> None:
-        """`told` is called once the real server has been told, or can't be."""
+    def _delete(self, server: RealServer, scheduling: Scheduling, told: Callable[[], None],
+                tries: int = 1) -> None:
+        """`told` is called once the real server has been told, or its word is no longer needed."""
         # Guards against a DELETE that is dropped unread with the connection it went out on, and against one
         # that the next scheduling overtakes, as a new connection or a busy real server takes its time: it
         # counts as told once it is answered, and goes out again on new connections.
         connection = None if tries > 1 else self._idle(server)
 
         def message() -> Sequence[bytes]:
-            return [http.request("DELETE", f"/jobs/{job}", server.address)]
+            return [http.request("DELETE", f"/jobs/{scheduling.job}", server.address)]
 
         if connection is not None:
             deleting = self._on(connection, message, None)
@@ -490,12 +491,15 @@
             self._deadlines.drop(late)
             if isinstance(result, Reason):
                 self._failed(result)
-                # One that has no room for a connection now still has the job.
-                lost = isinstance(result.value, (Broken, NotConnected))
-                if lost and server.port and tries < self._limits.delete_tries:
+                # Guards against a second copy: one that took the job still has it, though it has no room for
+                # a connection now or says nothing.  Until it is told, or tells, nothing else may be sent; its
+                # time runs out at the latest.
+                holds = scheduling.accepted and self._flows.waits(scheduling)
+                lost = isinstance(result.value, (Broken, NotConnected)) and tries < self._limits.delete_tries
+                if server.port and (lost or holds):
                     self._counters.add("deletes_again")
-                    self._deadlines.after(self._limits.delete_pause * (tries - 1) + 1,
-                                          lambda: self._delete(server, job, told, tries + 1))
+                    pause = self._limits.delete_pause * min(tries - 1, self._limits.delete_tries) + 1
+                    self._deadlines.after(pause, lambda: self._delete(server, scheduling, told, tries + 1))
                     return
             told()
 
