--- a/tests/test_live.py
+++ b/tests/test_live.py
@@ -171,6 +171,6 @@
             assert stage.stdout is not None
             self.assertEqual(b"plays\n", stage.stdout.readline())
             pids = children(stage.pid)
-            self.assertEqual(4, len(pids))
+            self.assertEqual(5, len(pids))
             stage.kill()
         self.assertTrue(ended(pids))
--- a/tests/test_world_boxes.py
+++ b/tests/test_world_boxes.py
@@ -679,7 +679,7 @@
         return "127.0.0.1", 0
 
     peer = node
-    roster = box
+    roster = relay = box
 
 
 class Stage:
--- a/tests/test_world_clients.py
+++ b/tests/test_world_clients.py
@@ -305,7 +305,7 @@
     def box(self, node: int, box: int) -> Address:
         raise NotImplementedError
 
-    roster = box
+    roster = relay = box
 
 
 Answers = Callable[["Served", wire.Message], None]
--- a/violetsaddle/lab/live/nodes.py
+++ b/violetsaddle/lab/live/nodes.py
@@ -84,7 +84,8 @@
         "name": f"n{node}", "listen": text(places.node(node)), "discovery": text(places.roster(node, move)),
         "seed": f"{seed:016x}", "limits": {"cores": 1.0, "memory_mb": MEMORY_MB, "sockets": day.sockets},
         "peer_listen": text(places.peer(node)),
-        "peers": [text(places.peer(other)) for other in range(len(day.nodes))],
+        "peers": [text(places.peer(node) if other == node else places.relay(node, other))
+                  for other in range(len(day.nodes))],
         "known": ground.known(node), "settings": merged(settings(day, node), ground.options.settings)}
 
 
--- a/violetsaddle/lab/live/places.py
+++ b/violetsaddle/lab/live/places.py
@@ -18,7 +18,7 @@
 BLOCKS = range(1, 255)
 PORTS = range(10_000, 30_000)
 ROW = 200  # hosts of a row 127.B.ROW.0/24
-NODES, BOXES, ROSTERS, LAST = 0, 10, 200, 250  # rows at which each begins
+NODES, BOXES, ROSTERS, RELAYS, LAST = 0, 10, 200, 240, 250  # rows at which each begins
 
 
 class NoPlace(Exception):
@@ -47,7 +47,10 @@
         return self._host(BOXES, ROSTERS, box), self.port + node
 
     def roster(self, node: int, move: int) -> Address:
-        return self._host(ROSTERS, LAST, move), self.port + node
+        return self._host(ROSTERS, RELAYS, move), self.port + node
+
+    def relay(self, node: int, other: int) -> Address:
+        return self._host(RELAYS, LAST, other), self.port + node
 
 
 @contextmanager
--- a/violetsaddle/lab/live/stage.py
+++ b/violetsaddle/lab/live/stage.py
@@ -39,8 +39,7 @@
 AFTER = SECOND  # what is owed at the day's end has its deadline and so much more
 HEADROOM = 300 * MS  # from all being ready to the day's start, at the least
 LISTENER = 100  # microseconds that a world needs for each listener
-UNPLAYED = {"clock": "a node's clock can't be stopped from outside", "loss": "loopback loses nothing",
-            "twice": "loopback doubles nothing"}
+UNPLAYED = {"clock": "a node's clock can't be stopped from outside"}
 PLAIN = Options()
 
 
@@ -178,6 +177,8 @@
         asked = time.monotonic()
         if any(c.effect == KEYED and c.group == "all" for c in day.classes):
             self._cast["world"] = min(1, self._cast.get("world", 0))  # boxes that share keys share a process
+        if not stage.echo and len(day.nodes) > 1:
+            self._cast["relay"] = 1
         for role, count in self._cast.items():
             for index in range(count):
                 await self._hire(role, index, count)
@@ -218,7 +219,7 @@
         with open(self._folder / f"{name}.err", "wb") as error:
             process = await children.spawn(
                 [sys.executable, "-m", "violetsaddle.lab.live.worker", str(path)], self._folder / "tmp", {},
-                cpus=self._stage.worker_cpus(len(self._members)), speaks=True, stderr=error)
+                cpus=self._stage.worker_cpus(role, len(self._members)), speaks=True, stderr=error)
         self._members.append(Member(plan, self._folder, process))
         self._parts.append([])
         self._go(self._members[-1].listen(self._break, self._box))
@@ -293,7 +294,7 @@
         await asyncio.gather(*(node.close() for node in self._nodes))
         await self._dismiss("load")
         await asyncio.gather(*(node.finish() for node in self._nodes))
-        await self._dismiss("world", "echo")
+        await self._dismiss("world", "echo", "relay")
 
     async def _dismiss(self, *roles: str) -> None:
         leaving = [member for member in self._members if member.plan.role in roles]
@@ -364,7 +365,9 @@
         workers = sum(self.cast.values())
         return workers if len(self.cpus) > workers else 0
 
-    def worker_cpus(self, number: int) -> Collection[int]:
+    def worker_cpus(self, role: str, number: int) -> Collection[int]:
+        if role == "relay":
+            return self.node_cpus()  # its work is small, and a part of theirs
         return [self.cpus[number]] if self._apart else self.cpus
 
     def node_cpus(self) -> Collection[int]:
--- a/violetsaddle/lab/live/worker.py
+++ b/violetsaddle/lab/live/worker.py
@@ -111,6 +111,13 @@
     return [EchoParty(scene)]
 
 
+def relay(worker: Worker, scene: Scene, unix0: int) -> list[Party]:
+    """What lies between the nodes."""
+    from violetsaddle.lab.live.relay import RelayParty
+
+    return [RelayParty(scene)]
+
+
 class Worker:
     def __init__(self, reactor: Any, plan: Plan, out: IO[bytes]) -> None:
         self._reactor, self.plan, self._out = reactor, plan, out
@@ -205,7 +212,7 @@
 
 
 CASTS: dict[str, Callable[[Worker, Scene, int], Sequence[Party]]] = {
-    "world": world, "load": load, "echo": echo}
+    "world": world, "load": load, "echo": echo, "relay": relay}
 
 
 def waited() -> float:
--- a/violetsaddle/lab/scene.py
+++ b/violetsaddle/lab/scene.py
@@ -22,6 +22,9 @@
     def peer(self, node: int) -> Address:
         """Where a node hears datagrams."""
 
+    def relay(self, node: int, other: int) -> Address:
+        """Where a node sends its datagrams to another one."""
+
     def box(self, node: int, box: int) -> Address:
         """Where a node reaches a box; port 0 on `live` until the box listens there."""
 
--- a/violetsaddle/lab/sim/places.py
+++ b/violetsaddle/lab/sim/places.py
@@ -21,6 +21,9 @@
     def peer(self, node: int) -> Address:
         return _host(1, node), PEER_PORT
 
+    def relay(self, node: int, other: int) -> Address:
+        return self.peer(other)  # the network itself is between them
+
     def box(self, node: int, box: int) -> Address:
         return _host(32, box), BOX_PORT + node
 
