Take all real servers for cold that return from a loss of power, until discovery speaks

Checked, second by second, with what every box could do beside what was sent. Nodes know nothing of the boxes' restart before the roster is back: the list they start with is of before, so that all count as warm.

Lines at fault: the started times of a list of before are believed (policy.py _start); policy.py _ran learnt a kind's speed from cold runs where no warm one had been seen, so that cold ones passed for warm.

Off by default: [recovery] silence_s in the operator file. A kind's speed comes from warm runs alone.

--- a/tests/test_relay.py
+++ b/tests/test_relay.py
@@ -32,8 +32,8 @@
         boxes=tuple(msgspec.structs.replace(box, hall=n % 2) for n, box in enumerate(day.boxes)))
 
 
-def play(day: Day, after: int = 1800 * MS) -> Outcome:
-    outcome = LiveStage(late=20 * SECOND).play(day, Options(after=after))
+def play(day: Day, after: int = 1800 * MS, operator: str = "") -> Outcome:
+    outcome = LiveStage(late=20 * SECOND).play(day, Options(after=after, operator=operator))
     assert not outcome.void and not judge(outcome).violations, (outcome.void, outcome.log[-20:])
     return outcome
 
--- a/violetsaddle/net/flows.py
+++ b/violetsaddle/net/flows.py
@@ -87,6 +87,17 @@
     def tell(self, data: bytes, to: int | None = None) -> None: ...
 
 
+class Doubter(Protocol):
+    """What may know better than the list since when real servers run: `decide.recovery`.  Entries that it
+    gives go to the module in place of the list's."""
+
+    def listed(self, now: int, kind: str, entries: Sequence[api.Entry]) -> Sequence[api.Entry]: ...
+
+    def refused(self, now: int, worker: int) -> None: ...
+
+    def alive(self, now: int, worker: int) -> Sequence[api.Entry]: ...
+
+
 class Watcher(Protocol):
     """What asks discovery."""
 
@@ -124,6 +135,7 @@
         self._telling = False
         self.carrier: Carrier
         self.watcher: Watcher
+        self.doubter: Doubter | None = None  # None: the list is believed
         self.ending = False  # the program is to end: flows that come now have their answer by `last_word`
         self.last_word = 0
         self.teller: Teller | None = None  # None: there are no peers, or no way to them
@@ -225,6 +237,22 @@
         self._counters.add("lists_" + kind)
         self._counters.event("list applied", "debug", kind=kind, entries=len(entries))
         self._tell(lambda: self._balancer.members(self._deadlines.now(), kind, entries))
+        if self.doubter is not None:
+            self._restate(self.doubter.listed(self._deadlines.now(), kind, entries))
+
+    def _met(self, server: int, outcome: str) -> None:
+        """A real server has shown that it runs, or that no connection comes up there."""
+        if self.doubter is None:
+            return
+        if outcome == api.CONNECT_FAILED:
+            self.doubter.refused(self._deadlines.now(), server)
+        elif outcome in (api.OK, api.FULL, api.ERROR):
+            self._restate(self.doubter.alive(self._deadlines.now(), server))
+
+    def _restate(self, entries: Sequence[api.Entry]) -> None:
+        if entries:
+            self._counters.add("lists_doubted")
+            self._tell(lambda: self._balancer.members(self._deadlines.now(), api.DIFF, entries))
 
     def probed(self, server: int, ok: bool, report: api.Report | None) -> None:
         self._counters.add("probes_ok" if ok else "probes_failed")
@@ -260,6 +288,7 @@
 
     def noted(self, scheduling: Scheduling, what: int, amount: float) -> None:
         if not scheduling.ended:
+            self._met(scheduling.server, api.OK)
             flow = self._table.get(scheduling.flow)
             if self._tally is not None and flow is not None and what == api.STARTED:
                 self._tally.over(scheduling, flow.aim, self._deadlines.now())
@@ -283,6 +312,7 @@
             # 202 comes through, without a word: the connection would wait for good.
             self._deadlines.after(self._limits.give_up, scheduling.ticket.cancel)
         self._counters.add("outcome_" + outcome)
+        self._met(scheduling.server, outcome)
         flow = self._table.get(scheduling.flow)
         if flow is None:
             return
--- a/violetsaddle/net/limits.py
+++ b/violetsaddle/net/limits.py
@@ -41,6 +41,7 @@
     ask: int = 1100 * MS  # for an answer at once; discovery lets a call wait for its turn for 1 s
     doubt_wait: int = SECOND  # discovery may hold a watch so long after a failed call
     watch_grace: int = 600 * MS  # and answers so much later at the latest
+    silence: int = 0  # without word from discovery for so long its list may be doubted; 0: never
     linger: int = 450 * MS  # after SIGTERM, connections still come for up to 400 ms
     keep_asking: int = 2 * SECOND  # after SIGTERM, clients may use the connections they have so long
     keep_idle: int = 2500 * MS  # after SIGTERM, unused ones stay open so long
--- a/violetsaddle/net/node.py
+++ b/violetsaddle/net/node.py
@@ -106,6 +106,10 @@
         self.discovery = Discovery(reactor, self.limits, self.deadlines, self.counters, self.flows,
                                    self.servers, config.discovery, config.zones, config.kinds, clock)
         self.flows.carrier, self.flows.watcher = self.servers, self.discovery
+        if self.limits.silence:
+            from violetsaddle.decide.recovery import Recovery
+
+            self.flows.doubter = Recovery(self.deadlines.now(), self.limits.silence)
         self.edge = EdgeFactory(Shared(self.flows, self.limits, self.deadlines, self.counters,
                                        self.servers.report))
         self.counters.held = self.held
--- a/violetsaddle/operator.py
+++ b/violetsaddle/operator.py
@@ -108,12 +108,23 @@
         return bool(self.snapshot) or self.warm_from_peers
 
 
+class Recovery(Struct, frozen=True, forbid_unknown_fields=True):
+    """`[recovery]`: what a node makes of a loss of power; off by default."""
+
+    silence_s: Annotated[float, Meta(ge=0, le=3600)] = 0.0  # of discovery, after which refusals count; 0: off
+
+    def __post_init__(self) -> None:
+        if 0 < self.silence_s < 5:
+            raise Mismatch("silence_s", "expected 0 or at least 5, longer than a quiet watch lasts")
+
+
 class Operator(Struct, frozen=True, forbid_unknown_fields=True):
     """A whole operator file, a field a section."""
 
     log: Log = Log()
     limits: Limits = Limits()
     restart: Restart = Restart()
+    recovery: Recovery = Recovery()
 
     def limits_for(self, limits: NodeLimits) -> NodeLimits:
         """`limits` with what the file changes.  `server_idle` and `dial` only get shorter than the settings'
@@ -127,6 +138,7 @@
         for name in ("server_idle", "dial"):
             if name in changed:
                 changed[name] = min(changed[name], getattr(limits, name))
+        changed["silence"] = int(self.recovery.silence_s * 1000) * MS
         return dataclasses.replace(limits, **changed)
 
 
--- a/violetsaddle/policy.py
+++ b/violetsaddle/policy.py
@@ -546,7 +546,7 @@
         bucket, told = worker.cold, self.told
         warmth = 1.0 - (worker.cold_until - now) / told.cold_for
         least = told.cold_from + (1.0 - told.cold_from) * min(1.0, max(0.0, warmth))
-        share = max(least, min(1.0, worker.speed / self.speeds.get(worker.kind, 1.0)))  # as its runs show
+        share = max(least, min(1.0, worker.speed / self.speeds.get(worker.kind, 1e9)))  # as its runs show
         bucket.fill(now)
         saved = COLD_SAFETY * told.fall_multiple * share * COLD_SAVED / max(1, len(self.everyone.items))
         whole = saved * (self.fleet.rate / self.schedulers if self.fleet.rate else self.own_rate)
@@ -818,7 +818,8 @@
 
     def _ran(self, now: int, worker: Worker, speed: float) -> None:
         kind, cold = self.speeds.get(worker.kind, speed), worker.cold_until > now
-        self.speeds[worker.kind] = kind + 0.02 * (speed - kind) * (not cold)
+        if not cold:  # or where all are cold each would pass for warm
+            self.speeds[worker.kind] = kind + 0.02 * (speed - kind)
         before = worker.speed or kind * (self.told.cold_from if cold else 1.0)
         worker.speed = before + SPEED_STEP * (min(speed, 2.0 * kind) - before)
 
