--- a/tests/test_node.py
+++ b/tests/test_node.py
@@ -17,6 +17,16 @@
 PROBING = {"permissions": {**SETTINGS["permissions"], "mayProbe": True},
            "report": {"names": ["x0", "utilization"], "via": "pull"}}
 
+TAKEN = """
+            c send job a quote
+            s expect POST /api | X-Txn: a
+            s send 202
+"""
+LOST = """
+            s expect DELETE /jobs/a
+            s close
+"""
+
 
 class Serving(Scenario):
     def test_a_flow_is_served_and_its_connection_serves_again(self) -> None:
@@ -346,14 +356,7 @@
         # On a joining day real servers had no room for a connection but ran what they had: after three tries
         # in 100 ms the next scheduling left, a second copy.
         self.start({"familyInfo": {"tellsStart": True}})
-        self.play("""
-            c send job a quote
-            s expect POST /api | X-Txn: a
-            s send 202
-        """ + """
-            s expect DELETE /jobs/a
-            s close
-        """ * 5 + """
+        self.play(TAKEN + LOST * 5 + """
             s expect DELETE /jobs/a
             s send 204
             s expect POST /api | X-Txn: a
@@ -366,30 +369,17 @@
 
     def test_what_ends_while_its_delete_finds_no_way_is_taken_at_its_word(self) -> None:
         self.start({"familyInfo": {"tellsStart": True}})
-        self.play("""
-            c send job a quote
-            s expect POST /api | X-Txn: a
-            s send 202
-        """ + """
-            s expect DELETE /jobs/a
-            s close
-        """ * 4 + """
+        self.play(TAKEN + LOST * 4 + """
             s call+ a done result=x
             c expect 200
         """)
 
     def test_a_client_gone_does_not_keep_a_node_that_ends(self) -> None:
         self.start({"familyInfo": {"tellsStart": True}})
-        self.play("""
-            c send job a quote
-            s expect POST /api | X-Txn: a
-            s send 202
+        self.play(TAKEN + """
             s call+ a started
             c close
-        """ + """
-            s expect DELETE /jobs/a
-            s close
-        """ * 3 + """
+        """ + LOST * 3 + """
             node send TERM
             node expect exit 0
         """)
