Lists of 1,024 nodes and servers: a limit for lists, ranks that share numbers

Need: deployments of up to 230 processes and some hundreds of servers, and no cap below 1,024.

Change: discovery's lists have a limit of their own (8 MiB, list_body_bytes); one beyond it is a line in the log, counted as watch_bad, and the list before stays. Ranks of the nodes for each server share their numbers: they were 30 kB a server at 1,024 nodes, now 8.

--- a/tests/faults/apply.py
+++ b/tests/faults/apply.py
@@ -34,8 +34,9 @@
     """A text that a fault replaces is not there exactly once: the fault must follow the program."""
 
 
-def names() -> list[str]:
-    return sorted(path.stem for path in HERE.glob("*.toml"))
+def names(folder: str = "") -> list[str]:
+    """Of the faults that the judge finds; in `repeats`, of those that `tests/test_repeats.py` finds."""
+    return sorted(str(path.relative_to(HERE).with_suffix("")) for path in (HERE / folder).glob("*.toml"))
 
 
 def load(name: str) -> Fault:
--- a/violetsaddle/decide/warmth.py
+++ b/violetsaddle/decide/warmth.py
@@ -35,10 +35,10 @@
 ENOUGH = 2  # answers; fewer count when a round is over
 # Answering.
 ANSWERS_A_SECOND, ANSWERS_SAVED = 10.0, 5.0
-MOST_PARTS = 2  # datagrams of boxes in an answer
+MOST_PARTS = 26  # datagrams of boxes in an answer, by need: a thousand boxes take 25
 GROWN = 2 * SECOND  # who has run for less knows no more than who asks
 RUNS = 5.0  # slots' worth of own runs behind an answer
-KEPT_NONCES = 256
+KEPT_NONCES = 4096
 # Believing.
 OTHERS = 0.7  # how far a peer's word counts beside its age: its halls and clients are not this node's
 FAIR = 0.5  # the least trust that a peer's word leaves: its way to a box may be cut, not the box
--- a/violetsaddle/net/discovery.py
+++ b/violetsaddle/net/discovery.py
@@ -159,7 +159,13 @@
                     # Guards against a discovery that answers at once with nothing new: it must not spin.
                     await self._pause()
         except (NotConnected, Broken, CancelledError):
-            if round == self._round:
+            wrong = self._connection.wrong if self._connection is not None else ""
+            if round == self._round and wrong:
+                # The list before stays in force.
+                self._counters.add("watch_bad")
+                self._counters.say(f"discovery's answer can't be taken: {wrong}"
+                                   f" (a list may hold {self._limits.list_body} bytes)")
+            elif round == self._round:
                 self._counters.add("watch_broken")
                 self._counters.event("watch broken", "warning", at=f"{self._host}:{self._port}")
         except (BadList, ValueError, RecursionError) as error:
@@ -176,7 +182,7 @@
         if self._connection is None or not self._connection.open:
             self._connection = await dial(
                 self._reactor, self._deadlines, self._limits.dial, self._host, self._port,
-                lambda: ServerConnection(self._limits, lambda _: None))
+                lambda: ServerConnection(self._limits, lambda _: None, self._limits.list_body))
         target = "/discovery/hosts"
         # Version 0 is one like any other: without `after` each call would bring the whole list at once.
         # After a failure with a short wait: what was missed may count as told soon, and discovery may fall
--- a/violetsaddle/net/limits.py
+++ b/violetsaddle/net/limits.py
@@ -24,7 +24,8 @@
     head: int = 16 * 1024
     fields: int = 100  # in one head
     body: int = 64 * 1024
-    answer_body: int = 1024 * 1024  # of discovery's lists and of what real servers answer
+    answer_body: int = 1024 * 1024  # of what real servers answer
+    list_body: int = 8 * 1024 * 1024  # of discovery's lists: a thousand servers take 0.2 to 0.6 MB
     identity: int = 128  # characters of a flow's id
     answer_margin: int = 5 * MS  # the module's deadline comes so long before the client's
     probe: int = 250 * MS
--- a/violetsaddle/net/servers.py
+++ b/violetsaddle/net/servers.py
@@ -59,12 +59,14 @@
 
     transport: Transport
 
-    def __init__(self, limits: Limits, ended: Callable[[ServerConnection], None]) -> None:
+    def __init__(self, limits: Limits, ended: Callable[[ServerConnection], None], most_body: int = 0) -> None:
+        """`most_body`: bytes of an answer's body; 0: as real servers' answers."""
         self._limits, self._ended = limits, ended
+        self.wrong = ""  # what was wrong with an answer that could not be taken
         self.number = -1
         self.server: RealServer | None = None
         self.patience: Patience | None = None  # None: never idle yet
-        self._parser = http.Parser(limits, limits.answer_body, answers=True)
+        self._parser = http.Parser(limits, most_body or limits.answer_body, answers=True)
         self._answer: Deferred[http.Message] | None = None
         self._message: Sequence[bytes] | None = None
         self._written = False
@@ -131,7 +133,8 @@
                 self.open = False
                 self.transport.loseConnection()
             self._give(message)
-        except http.Malformed:
+        except http.Malformed as error:
+            self.wrong = error.text
             self.transport.abortConnection()
 
     def _give(self, message: http.Message) -> None:
--- a/violetsaddle/operator.py
+++ b/violetsaddle/operator.py
@@ -71,6 +71,7 @@
     probe_ms: Ms = NodeLimits.probe // MS
     give_up_ms: Ms = NodeLimits.give_up // MS
     answer_body_bytes: Annotated[int, Meta(ge=64 * KIB, le=64 * MIB)] = NodeLimits.answer_body
+    list_body_bytes: Annotated[int, Meta(ge=64 * KIB, le=64 * MIB)] = NodeLimits.list_body
     watch_wait_ms: Annotated[int, Meta(ge=100, le=8000)] = NodeLimits.watch_wait // MS
     watch_grace_ms: Annotated[int, Meta(ge=50, le=5000)] = NodeLimits.watch_grace // MS
     watch_pause_ms: Annotated[int, Meta(ge=1, le=150)] = NodeLimits.watch_pause // MS
@@ -94,7 +95,7 @@
 
     snapshot: Annotated[str, Meta(max_length=4000)] = ""  # path; "": off
     snapshot_every_s: Annotated[float, Meta(ge=0.1, le=3600)] = 5.0
-    snapshot_most_kb: Annotated[int, Meta(ge=16, le=65_536)] = 256
+    snapshot_most_kb: Annotated[int, Meta(ge=16, le=65_536)] = 1024
     believe_s: Annotated[float, Meta(ge=0, le=3600)] = 60.0  # older than this is not believed at all
     warm_from_peers: bool = False
     upgrade: bool = False
--- a/violetsaddle/policy.py
+++ b/violetsaddle/policy.py
@@ -241,6 +241,7 @@
         self.alone = told.schedulers < 2 or not told.may_tell  # own jobs speak for all: N times as many
         self.peers: dict[int, int] = {told.me: -TOLD_FOR} if self.alone else {}  # when each last spoke
         n, step = told.schedulers, max(1, told.schedulers // (CIRCLE + 1))
+        self.numbers = list(range(n))  # once: each worker's ranks hold all of them
         self.circles = n > CIRCLE + 1 and not self.alone
         self.signs = [i * step for i in range(1, CIRCLE + 1)] if self.circles else list(range(1, n))
         self.zone_of, self.zones_new = {told.me: told.zone & 0xF}, False  # zones of schedulers, as heard
@@ -329,7 +330,7 @@
         """Finds a worker's circle and pools."""
         if self.circles:
             all_ = worker.ranks = worker.ranks or sorted(
-                range(self.told.schedulers), key=lambda n: mix(worker.id, n))
+                self.numbers, key=lambda n: mix(worker.id, n))
             zone = worker.zone & 0xF if 2 * len(self.zone_of) > len(all_) else -1  # else each is first
             home = [n for n in all_ if self.zone_of.get(n) == zone]
             away = [n for n in all_ if self.zone_of.get(n) != zone]
@@ -838,6 +839,5 @@
             self._hold(now, request, RETRY_WAIT << min(tries - 2, 4))
 
     def probed(self, now: int, worker_id: int, ok: bool, report: api.Report | None) -> None:
-        worker = self.workers.get(worker_id)
-        if worker is not None and ok and report:
+        if ok and report and (worker := self.workers.get(worker_id)) is not None:
             self._report(now, worker, report)
