--- a/tests/test_lab_days.py
+++ b/tests/test_lab_days.py
@@ -29,8 +29,8 @@
 from violetsaddle.world.links import Links
 
 # Days that once broke a rule without a fault of the program, or with one that is mended.
-KEPT = (("storm", 18), ("storm", 183), ("storm", 227))
-FAULTS = ("answer-twice", "drain-ignored", "id-twice", "slot-kept")
+KEPT = (("storm", 18), ("storm", 183), ("storm", 227), ("brink", 6), ("brink", 28))
+FAULTS = ("answer-twice", "drain-ignored", "id-twice", "slot-kept", "repeats/hold-unasked")
 
 
 def small(*troubles: Trouble, seconds: int = 3, **changes: Any) -> Day:
