--- a/tests/test_closes.py
+++ b/tests/test_closes.py
@@ -109,23 +109,22 @@
 
 
 class Shutdown(Held):
-    def test_a_request_that_lies_unread_as_idle_connections_close(self) -> None:
-        # It was closed over: the client had to come again, or lost what it had written.
+    def sent_as_idle_ones_close(self, sent: str) -> None:
+        """On a resting connection; the node goes on once it lies in its kernel."""
         self.start_held(CLOSE_SOON)
         self.play("c send GET /up\nc expect 200\nnode send TERM")
         stopped = self.at(CLOSE_SOON)
-        self.play("c send GET /up")
+        self.play(sent)
         self.unread(self.line("c"))
         self.go(stopped)
+
+    def test_a_request_that_lies_unread_as_idle_connections_close(self) -> None:
+        # It was closed over: the client had to come again, or lost what it had written.
+        self.sent_as_idle_ones_close("c send GET /up")
         self.play("c expect 200 | close\nc wait\nnode expect exit 0")
 
     def test_a_job_that_lies_unread_as_idle_connections_close(self) -> None:
-        self.start_held(CLOSE_SOON)
-        self.play("c send GET /up\nc expect 200\nnode send TERM")
-        stopped = self.at(CLOSE_SOON)
-        self.play("c send job a settle")
-        self.unread(self.line("c"))
-        self.go(stopped)
+        self.sent_as_idle_ones_close("c send job a settle")
         self.play("""
             s expect POST /api | X-Txn: a
             s send 202
@@ -135,12 +134,7 @@
         """)
 
     def test_half_a_line_as_idle_connections_close(self) -> None:
-        self.start_held(CLOSE_SOON)
-        self.play("c send GET /up\nc expect 200\nnode send TERM")
-        stopped = self.at(CLOSE_SOON)
-        self.play("c send RAW GET /u")
-        self.unread(self.line("c"))
-        self.go(stopped)
+        self.sent_as_idle_ones_close("c send RAW GET /u")
         self.play("c send RAW p HTTP/1.1 | Host: n | | \nc expect 200 | close\nnode expect exit 0")
 
     def test_one_that_has_just_come_may_ask(self) -> None:
