The test of an outage of discovery keeps its port bound meanwhile

Seen: run beside other tests, test_guard's box once heard 'GET /discovery/hosts?after=1&wait_ms=1000'. test_held_out closes discovery's listener for 0.3 s, in which its port was anybody's, the guard's listener or one of its own 300 idle clients among them, and the node calls there all the time. The port stays bound without listening now: calls are refused as before. That this was the cause is inferred. The three tests of the class pass; mypy and ruff too.

--- a/tests/test_held_out.py
+++ b/tests/test_held_out.py
@@ -37,11 +37,15 @@
         self.play("d expect after=1")
         at = self.discovery.getsockname()
         self.discovery.close()
+        # Bound but not listening: calls are refused, and nobody else gets the port meanwhile.
+        self.discovery = socket.socket()
+        self.discovery.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        self.discovery.bind(at)
         self.lines.pop("d").sock.close()
         for _ in range(3):
             self.fill(100)
             time.sleep(0.1)
-        self.discovery = socket.create_server(at)
+        self.discovery.listen()
         self.discovery.settimeout(PATIENCE)
         self.play("""
             d expect after=1
