--- a/Makefile
+++ b/Makefile
@@ -21,6 +21,7 @@
 test: export PYTHONHASHSEED = 0
 test: env
 	$(BIN)/ruff check violetsaddle tests examples benchmarks
+	$(BIN)/ruff format --check violetsaddle tests examples benchmarks
 	$(BIN)/mypy
 	$(BIN)/python examples/in_process.py
 	$(BIN)/python -m pytest -q
--- a/benchmarks/counting.py
+++ b/benchmarks/counting.py
@@ -22,36 +22,86 @@
 
 import msgspec
 
-SYSTEM = {f"<method '{name}' of '_socket.socket' objects>": name for name in (
-    "recv", "recv_into", "recvfrom", "send", "sendmsg", "sendto", "accept", "_accept", "connect",
-    "connect_ex", "close", "shutdown", "bind", "setblocking", "settimeout", "setsockopt", "getsockopt",
-    "getsockname", "getpeername")}
-SYSTEM |= {f"<method '{name}' of 'select.epoll' objects>": "epoll_" + name
-           for name in ("poll", "register", "modify", "unregister")}
-NAMES = {"epoll_poll": "epoll_wait", "epoll_register": "epoll_ctl", "epoll_modify": "epoll_ctl",
-         "epoll_unregister": "epoll_ctl", "_accept": "accept", "connect_ex": "connect",
-         "setblocking": "ioctl", "settimeout": "ioctl"}
+SYSTEM = {
+    f"<method '{name}' of '_socket.socket' objects>": name
+    for name in (
+        "recv",
+        "recv_into",
+        "recvfrom",
+        "send",
+        "sendmsg",
+        "sendto",
+        "accept",
+        "_accept",
+        "connect",
+        "connect_ex",
+        "close",
+        "shutdown",
+        "bind",
+        "setblocking",
+        "settimeout",
+        "setsockopt",
+        "getsockopt",
+        "getsockname",
+        "getpeername",
+    )
+}
+SYSTEM |= {
+    f"<method '{name}' of 'select.epoll' objects>": "epoll_" + name
+    for name in ("poll", "register", "modify", "unregister")
+}
+NAMES = {
+    "epoll_poll": "epoll_wait",
+    "epoll_register": "epoll_ctl",
+    "epoll_modify": "epoll_ctl",
+    "epoll_unregister": "epoll_ctl",
+    "_accept": "accept",
+    "connect_ex": "connect",
+    "setblocking": "ioctl",
+    "settimeout": "ioctl",
+}
 # What a file's calls are for; the first that fits.
 PARTS = (
-    ("violetsaddle/net/http.py", "parsing"), ("violetsaddle/net/edge.py", "edge"),
-    ("violetsaddle/net/flows.py", "flows"), ("violetsaddle/policy", "module"),
-    ("violetsaddle/interface", "module"), ("violetsaddle/net/reactor.py", "reactor"),
-    ("violetsaddle/net/servers.py", "servers"), ("violetsaddle/net/deadlines.py", "deadlines"),
-    ("sortedcontainers", "deadlines"), ("violetsaddle/net/counters.py", "counters"),
-    ("violetsaddle/net/slots.py", "slots"), ("violetsaddle", "other of the node"),
-    ("twisted/python/log", "Twisted's log context"), ("twisted/python/context", "Twisted's log context"),
-    ("twisted/logger", "Twisted's log context"), ("twisted/internet/defer", "Deferreds"),
-    ("twisted", "reactor"), ("asyncio", "reactor"), ("selectors.py", "reactor"),
-    ("json/", "JSON"), ("urllib", "edge"), ("benchmarks/forwarder", "forwarder"))
+    ("violetsaddle/net/http.py", "parsing"),
+    ("violetsaddle/net/edge.py", "edge"),
+    ("violetsaddle/net/flows.py", "flows"),
+    ("violetsaddle/policy", "module"),
+    ("violetsaddle/interface", "module"),
+    ("violetsaddle/net/reactor.py", "reactor"),
+    ("violetsaddle/net/servers.py", "servers"),
+    ("violetsaddle/net/deadlines.py", "deadlines"),
+    ("sortedcontainers", "deadlines"),
+    ("violetsaddle/net/counters.py", "counters"),
+    ("violetsaddle/net/slots.py", "slots"),
+    ("violetsaddle", "other of the node"),
+    ("twisted/python/log", "Twisted's log context"),
+    ("twisted/python/context", "Twisted's log context"),
+    ("twisted/logger", "Twisted's log context"),
+    ("twisted/internet/defer", "Deferreds"),
+    ("twisted", "reactor"),
+    ("asyncio", "reactor"),
+    ("selectors.py", "reactor"),
+    ("json/", "JSON"),
+    ("urllib", "edge"),
+    ("benchmarks/forwarder", "forwarder"),
+)
 # Functions that are counted by name: file, function and what they stand for.
-MARKS = (("reactor.py", "doPoll", "reactor turns"), ("epollreactor.py", "doPoll", "reactor turns"),
-         ("posixbase.py", "_doReadOrWrite", "reactor events"),
-         ("selectors.py", "select", "reactor turns"), ("events.py", "_run", "reactor events"),
-         ("tcp.py", "doRead", "doRead"), ("abstract.py", "doWrite", "doWrite"),
-         ("base.py", "callLater", "callLater"),
-         ("deadlines.py", "add", "deadlines added"), ("deadlines.py", "__lt__", "deadline compares"),
-         ("log.py", "callWithLogger", "callWithLogger"), ("defer.py", "_runCallbacks", "Deferreds run"),
-         ("http.py", "_field", "head fields parsed"), ("policy.py", "draw", "draws"))
+MARKS = (
+    ("reactor.py", "doPoll", "reactor turns"),
+    ("epollreactor.py", "doPoll", "reactor turns"),
+    ("posixbase.py", "_doReadOrWrite", "reactor events"),
+    ("selectors.py", "select", "reactor turns"),
+    ("events.py", "_run", "reactor events"),
+    ("tcp.py", "doRead", "doRead"),
+    ("abstract.py", "doWrite", "doWrite"),
+    ("base.py", "callLater", "callLater"),
+    ("deadlines.py", "add", "deadlines added"),
+    ("deadlines.py", "__lt__", "deadline compares"),
+    ("log.py", "callWithLogger", "callWithLogger"),
+    ("defer.py", "_runCallbacks", "Deferreds run"),
+    ("http.py", "_field", "head fields parsed"),
+    ("policy.py", "draw", "draws"),
+)
 
 
 class Counts(msgspec.Struct):
@@ -94,8 +144,13 @@
             for file, function, mark in MARKS:
                 if (base, name) == (file, function):
                     marks[mark] += entry.callcount
-            functions.append((f"{base}:{entry.code.co_firstlineno} {entry.code.co_qualname}", entry.callcount,
-                              round(entry.inlinetime, 6)))
+            functions.append(
+                (
+                    f"{base}:{entry.code.co_firstlineno} {entry.code.co_qualname}",
+                    entry.callcount,
+                    round(entry.inlinetime, 6),
+                )
+            )
         else:
             c += entry.callcount
             if entry.code in SYSTEM:
@@ -103,8 +158,14 @@
                 system[NAMES.get(name, name)] += entry.callcount
             functions.append((entry.code, entry.callcount, round(entry.inlinetime, 6)))
     functions.sort(key=lambda f: -f[2])
-    return Counts(dict(sorted(system.items())), dict(sorted(marks.items())), python, c,
-                  {name: round(took, 6) for name, took in parts.most_common()}, functions[:40])
+    return Counts(
+        dict(sorted(system.items())),
+        dict(sorted(marks.items())),
+        python,
+        c,
+        {name: round(took, 6) for name, took in parts.most_common()},
+        functions[:40],
+    )
 
 
 def per(found: Mapping[str, float], requests: int) -> dict[str, float]:
--- a/benchmarks/forwarder.py
+++ b/benchmarks/forwarder.py
@@ -26,8 +26,7 @@
 CLOSE = re.compile(rb"\r\nConnection:[ \t]*close", re.IGNORECASE)
 JOB = re.compile(rb"\r\nX-Txn:[ \t]*([!-~]+)", re.IGNORECASE)
 # What concerns one connection only, and the name of this side.
-OWN = re.compile(rb"\r\n(?:Host|Connection|Keep-Alive|TE|Upgrade|Expect|Proxy-[a-z]+):[^\r]*",
-                 re.IGNORECASE)
+OWN = re.compile(rb"\r\n(?:Host|Connection|Keep-Alive|TE|Upgrade|Expect|Proxy-[a-z]+):[^\r]*", re.IGNORECASE)
 NO_CONTENT = b"HTTP/1.1 204 No Content\r\n\r\n"
 
 
@@ -67,8 +66,8 @@
             if len(self.buffer) < self.end:
                 return
             head, self.head = self.head, b""
-            body = bytes(memoryview(self.buffer)[self.start:self.end])
-            del self.buffer[:self.end]
+            body = bytes(memoryview(self.buffer)[self.start : self.end])
+            del self.buffer[: self.end]
             self.scanned = 0
             self.message(head, body)
 
@@ -201,7 +200,8 @@
     async def dial(self, server: Server, job: str, data: bytes) -> None:
         try:
             _, line = await asyncio.get_running_loop().create_connection(
-                lambda: Line(server, self), server.host, server.port)
+                lambda: Line(server, self), server.host, server.port
+            )
         except OSError:
             self.answer(job, reply("502 Bad Gateway"))
             return
@@ -239,8 +239,13 @@
 @click.argument("discovery", type=int)
 def main(port: int, discovery: int) -> None:
     """PORT 0: any that is free; it is told on standard error."""
-    asyncio.run(serve(port, listed(discovery), lambda at: print(
-        f"forwarder: listening on {HOST}:{at}", file=sys.stderr, flush=True)))
+    asyncio.run(
+        serve(
+            port,
+            listed(discovery),
+            lambda at: print(f"forwarder: listening on {HOST}:{at}", file=sys.stderr, flush=True),
+        )
+    )
 
 
 if __name__ == "__main__":
--- a/benchmarks/guard.py
+++ b/benchmarks/guard.py
@@ -116,10 +116,23 @@
         spec = Spec()
         table = configuration(spec, self.discovery.getsockname()[1], 1, 1024)
         table["settings"]["discovery"] = "push"
-        table["known"] = {"version": 1, "full": True, "servers": [
-            {"id": f"s-{n}", "addr": f"{HOST}:{sock.getsockname()[1]}", "zone": "east", "kind": "box",
-             "cell": 0, "state": "up", "weight": 1.0, "started_ms": 0}
-            for n, sock in enumerate(self.listeners)]}
+        table["known"] = {
+            "version": 1,
+            "full": True,
+            "servers": [
+                {
+                    "id": f"s-{n}",
+                    "addr": f"{HOST}:{sock.getsockname()[1]}",
+                    "zone": "east",
+                    "kind": "box",
+                    "cell": 0,
+                    "state": "up",
+                    "weight": 1.0,
+                    "started_ms": 0,
+                }
+                for n, sock in enumerate(self.listeners)
+            ],
+        }
         path = os.path.join(folder, "guard.json")
         Path(path).write_bytes(msgspec.json.encode(table))
         os.environ["RELAY_CONFIG"] = path
@@ -155,7 +168,7 @@
     def send(self, end: End, data: bytes) -> None:
         """In pieces, each of which has arrived as a whole before the node looks."""
         for at in range(0, len(data), PIECE):
-            piece = data[at:at + PIECE]
+            piece = data[at : at + PIECE]
             end.sock.sendall(piece)
             if len(data) > PIECE:
                 self.arrived(end, len(piece))
@@ -163,8 +176,11 @@
 
     def arrived(self, end: End, size: int) -> None:
         here = end.sock.getsockname()
-        there = next(t for t in self.reactor.getReaders()
-                     if hasattr(t, "client") and t.getHandle().getpeername() == here)
+        there = next(
+            t
+            for t in self.reactor.getReaders()
+            if hasattr(t, "client") and t.getHandle().getpeername() == here
+        )
         count = array.array("i", [0])
         while count[0] < size:
             fcntl.ioctl(there.getHandle().fileno(), termios.FIONREAD, count)
@@ -200,10 +216,18 @@
         if call is None:
             call = self.calls[number] = self.dial()
         for state in ("started", "done"):
-            said = msgspec.json.encode({"id": job, "from": f"s-{number}", "state": state,
-                                        **({"result": result} if state == "done" else {})})
-            self.send(call, b"POST /callback HTTP/1.1\r\nHost: node\r\nContent-Length: %d\r\n\r\n%s" % (
-                len(said), said))
+            said = msgspec.json.encode(
+                {
+                    "id": job,
+                    "from": f"s-{number}",
+                    "state": state,
+                    **({"result": result} if state == "done" else {}),
+                }
+            )
+            self.send(
+                call,
+                b"POST /callback HTTP/1.1\r\nHost: node\r\nContent-Length: %d\r\n\r\n%s" % (len(said), said),
+            )
             assert call.message().startswith(b"HTTP/1.1 204 ")
         answer = self.client.message()
         assert answer.startswith(b"HTTP/1.1 200 ") and answer.endswith(result.encode()), answer[:300]
@@ -256,23 +280,34 @@
         stage.play(b"x" * 212, "ok")
     stage.watch = lambda turn: turn()
     found = counts(profile.getstats())
-    reactor = ("reactor turns", "reactor events", "doRead", "doWrite", "callLater", "callWithLogger",
-               "Deferreds run")
+    reactor = (
+        "reactor turns",
+        "reactor events",
+        "doRead",
+        "doWrite",
+        "callLater",
+        "callWithLogger",
+        "Deferreds run",
+    )
     work = ("deadlines added",)
 
     def each(values: dict[str, int], names: tuple[str, ...] | None = None) -> dict[str, float]:
         return {name: values.get(name, 0) / PROFILED for name in (names or values)}
 
-    return {"system": {**each(found.system), "all": sum(found.system.values()) / PROFILED},
-            "reactor": each(found.marks, reactor), "work": each(found.marks, work),
-            "interpreter": {"Python calls": found.python_calls / PROFILED,
-                            "C calls": found.c_calls / PROFILED}}
+    return {
+        "system": {**each(found.system), "all": sum(found.system.values()) / PROFILED},
+        "reactor": each(found.marks, reactor),
+        "work": each(found.marks, work),
+        "interpreter": {"Python calls": found.python_calls / PROFILED, "C calls": found.c_calls / PROFILED},
+    }
 
 
 def traced(stage: Stage) -> dict[str, float]:
     made = {}
     sizes: dict[str, Callable[[], int]] = {
-        "blocks made": sys.getallocatedblocks, "tracked objects made": lambda: gc.get_count()[0]}
+        "blocks made": sys.getallocatedblocks,
+        "tracked objects made": lambda: gc.get_count()[0],
+    }
     for name, size in sizes.items():
         trace = stage.watch = Trace(size, 1)
         for _ in range(TRACED):
@@ -309,8 +344,10 @@
         stage.play(body, result, taken)
     tracemalloc.stop()
     stage.watch = lambda turn: turn()
-    return {"of a request's body": to_box / BODY / LARGE,
-            "of a result": (trace.made - to_box) / RESULT / LARGE}
+    return {
+        "of a request's body": to_box / BODY / LARGE,
+        "of a result": (trace.made - to_box) / RESULT / LARGE,
+    }
 
 
 def measure() -> dict[str, dict[str, float]]:
--- a/benchmarks/load.py
+++ b/benchmarks/load.py
@@ -53,9 +53,11 @@
 
 
 def request(job: str, body: bytes, number: int, wait: int = 3000) -> bytes:
-    return (f"POST /api?sid={number:016x} HTTP/1.1\r\nHost: backend.local\r\n"
-            f"X-Txn: {job}\r\nX-Lane: quote\r\nX-Org: acme\r\nX-Remaining: {wait}m\r\n"
-            f"Content-Length: {len(body)}\r\n\r\n").encode() + body
+    return (
+        f"POST /api?sid={number:016x} HTTP/1.1\r\nHost: backend.local\r\n"
+        f"X-Txn: {job}\r\nX-Lane: quote\r\nX-Org: acme\r\nX-Remaining: {wait}m\r\n"
+        f"Content-Length: {len(body)}\r\n\r\n"
+    ).encode() + body
 
 
 class Client(Framed):
@@ -180,7 +182,7 @@
             return
         data, due = self.next(), self.loop.time()
         for at in range(len(data) - 1):
-            client.transport.write(data[at:at + 1])
+            client.transport.write(data[at : at + 1])
             await asyncio.sleep(0.0002)
         client.ask(data[-1:], due)
 
@@ -190,7 +192,7 @@
         for at in range(0, len(data), 1024):
             if line.first.done() or self.over.is_set():
                 break
-            line.transport.write(data[at:at + 1024])
+            line.transport.write(data[at : at + 1024])
             await asyncio.sleep(1.0)
         line.transport.abort()
 
@@ -225,7 +227,7 @@
                 self.times = np.cumsum(draws.exponential(1 / task.rate, task.requests))[::-1].tolist()
                 self.tick()
             else:
-                for line in lines[:task.requests]:
+                for line in lines[: task.requests]:
                     if task.cut:
                         self.spawn(self.pieces(line))
                     else:
@@ -243,8 +245,17 @@
             left.cancel()
         await asyncio.sleep(0.02)
         at = self.took.get_value_at_percentile
-        return Figures(took, dict(self.statuses), at(50), at(99), at(99.9), self.took.get_max_value(),
-                       opened, dict(self.slow), self.late.get_value_at_percentile(99))
+        return Figures(
+            took,
+            dict(self.statuses),
+            at(50),
+            at(99),
+            at(99.9),
+            self.took.get_max_value(),
+            opened,
+            dict(self.slow),
+            self.late.get_value_at_percentile(99),
+        )
 
 
 class Loader:
@@ -278,8 +289,11 @@
             number += 1
             await self.quiet(task.idle, self.idle, task.port, False)
             await self.quiet(task.held, self.kept, task.port, True)
-            say(ready=number, idle=sum(not line.transport.is_closing() for line in self.idle),
-                held=sum(not line.first.done() for line in self.kept))
+            say(
+                ready=number,
+                idle=sum(not line.transport.is_closing() for line in self.idle),
+                held=sum(not line.first.done() for line in self.kept),
+            )
             if task.requests:
                 await self.queue.get()  # the word to begin
                 found = await Run(task, loop).go()
--- a/benchmarks/ordinary.py
+++ b/benchmarks/ordinary.py
@@ -72,14 +72,23 @@
 class Side:
     """One program with its job boxes; `kind` is `node` or `forwarder`."""
 
-    def __init__(self, kind: str, town: Town, folder: str, cores: Sequence[int | None], counted: bool = False,
-                 tree: str = str(ROOT), python: str = sys.executable) -> None:
+    def __init__(
+        self,
+        kind: str,
+        town: Town,
+        folder: str,
+        cores: Sequence[int | None],
+        counted: bool = False,
+        tree: str = str(ROOT),
+        python: str = sys.executable,
+    ) -> None:
         self.kind, self.counts_at = kind, os.path.join(folder, f"{kind}-counts.json")
         self.children: list[Child] = []
         spec = Spec(boxes=town.boxes, result=town.result, peers=max(1, town.peers), in_flight=int(town.held))
         told = msgspec.json.encode(spec).decode()
-        self.town = Child([sys.executable, "-m", "benchmarks.standins", "town", told], dict(os.environ),
-                          str(ROOT), cores[1])
+        self.town = Child(
+            [sys.executable, "-m", "benchmarks.standins", "town", told], dict(os.environ), str(ROOT), cores[1]
+        )
         self.children.append(self.town)
         try:
             env = {k: v for k, v in os.environ.items() if not k.startswith("RELAY_")}
@@ -87,8 +96,11 @@
             if kind == "node":
                 path = os.path.join(folder, "node.json")
                 Path(path).write_bytes(msgspec.json.encode(self.configured(spec, town, discovery)))
-                env |= {"RELAY_CONFIG": path, "COUNTED_TREE": tree,
-                        "PYTHONPATH": tree + os.pathsep + str(ROOT)}
+                env |= {
+                    "RELAY_CONFIG": path,
+                    "COUNTED_TREE": tree,
+                    "PYTHONPATH": tree + os.pathsep + str(ROOT),
+                }
                 what = ["violetsaddle"]
             else:
                 env |= {"PYTHONPATH": str(ROOT), "COUNTED_TREE": str(ROOT)}
@@ -111,8 +123,10 @@
             own = f"{HOST}:{free_port()}"
             table["settings"]["siblings"] = town.peers + 1
             table["settings"]["permissions"]["mayTell"] = True
-            table |= {"peer_listen": own,
-                      "peers": [own, *(f"{HOST}:{port}" for port in self.town.wait_for("peers"))]}
+            table |= {
+                "peer_listen": own,
+                "peers": [own, *(f"{HOST}:{port}" for port in self.town.wait_for("peers"))],
+            }
         return table
 
     def end(self) -> None:
@@ -178,8 +192,12 @@
         took = cpu(side.pid) - before
         figures = msgspec.convert(self.load.said["figures"], Figures)
         served = max(1, figures.statuses.get("200", 0))
-        return Measured(round(1e3 * took / served, 4), round(served / figures.seconds, 1), figures,
-                        round(took / figures.seconds, 3))
+        return Measured(
+            round(1e3 * took / served, 4),
+            round(served / figures.seconds, 1),
+            figures,
+            round(took / figures.seconds, 3),
+        )
 
 
 class Ratio(msgspec.Struct):
@@ -201,8 +219,10 @@
     kept = []
     wrong: dict[str, int] = {}
     for number in range(rounds + 1):
-        pair = [bench.measure(side, msgspec.structs.replace(task))
-                for side in ((node, forwarder) if number % 2 else (forwarder, node))]
+        pair = [
+            bench.measure(side, msgspec.structs.replace(task))
+            for side in ((node, forwarder) if number % 2 else (forwarder, node))
+        ]
         if number % 2 == 0:
             pair.reverse()
         for side, found in zip("nf", pair):
@@ -214,9 +234,17 @@
     ratios = [n.cpu_ms / f.cpu_ms for n, f in kept]
     middle = statistics.median
     lowest, median, highest = (round(of(ratios), 2) for of in (min, middle, max))
-    return Ratio(middle(n.cpu_ms for n, _ in kept), middle(f.cpu_ms for _, f in kept), median, lowest,
-                 highest, middle(n.a_second for n, _ in kept), middle(f.a_second for _, f in kept),
-                 middle(n.figures.p99 for n, _ in kept), wrong)
+    return Ratio(
+        middle(n.cpu_ms for n, _ in kept),
+        middle(f.cpu_ms for _, f in kept),
+        median,
+        lowest,
+        highest,
+        middle(n.a_second for n, _ in kept),
+        middle(f.a_second for _, f in kept),
+        middle(n.figures.p99 for n, _ in kept),
+        wrong,
+    )
 
 
 def counted(bench: Bench, kind: str, requests: int, town: Town, task: Task) -> Counts:
@@ -243,8 +271,9 @@
     if shutil.which("strace") is None:
         return {}
     path = os.path.join(bench.folder.name, "strace.txt")
-    tracer = subprocess.Popen(["strace", "-c", "-f", "-o", path, "-p", str(side.pid)],
-                              stderr=subprocess.DEVNULL)
+    tracer = subprocess.Popen(
+        ["strace", "-c", "-f", "-o", path, "-p", str(side.pid)], stderr=subprocess.DEVNULL
+    )
     time.sleep(0.5)
     found = bench.measure(side, msgspec.structs.replace(task))
     tracer.send_signal(signal.SIGINT)
@@ -266,9 +295,24 @@
         return {}
     path = os.path.join(bench.folder.name, "spy.txt")
     watching = subprocess.Popen(
-        [spy, "record", "-r", "400", "-d", str(int(seconds)), "-f", "raw", "-F", "-o", path,
-         "-p", str(side.pid)],
-        stdout=subprocess.DEVNULL, stderr=subprocess.DEVNULL)
+        [
+            spy,
+            "record",
+            "-r",
+            "400",
+            "-d",
+            str(int(seconds)),
+            "-f",
+            "raw",
+            "-F",
+            "-o",
+            path,
+            "-p",
+            str(side.pid),
+        ],
+        stdout=subprocess.DEVNULL,
+        stderr=subprocess.DEVNULL,
+    )
     until = time.monotonic() + seconds
     while time.monotonic() < until:
         bench.measure(side, msgspec.structs.replace(task))
@@ -277,10 +321,13 @@
 
 
 # Innermost frames of samples that are a system call, but for a few instructions.
-INNERMOST = {"doRead (twisted/internet/tcp": "recv", "writeSomeData (twisted/internet/tcp": "send",
-             "_add (twisted/internet/epollreactor": "epoll_ctl",
-             "_remove (twisted/internet/epollreactor": "epoll_ctl",
-             "doPoll (twisted/internet/epollreactor": "epoll_wait"}
+INNERMOST = {
+    "doRead (twisted/internet/tcp": "recv",
+    "writeSomeData (twisted/internet/tcp": "send",
+    "_add (twisted/internet/epollreactor": "epoll_ctl",
+    "_remove (twisted/internet/epollreactor": "epoll_ctl",
+    "doPoll (twisted/internet/epollreactor": "epoll_wait",
+}
 
 
 def shares(stacks: Iterable[str]) -> dict[str, float]:
@@ -339,8 +386,14 @@
 
 
 def fit(task: Task, options: Options) -> Task:
-    return msgspec.structs.replace(task, requests=min(task.requests, options.requests) if task.requests < 1000
-                                   else options.requests if not task.burst else task.requests)
+    return msgspec.structs.replace(
+        task,
+        requests=min(task.requests, options.requests)
+        if task.requests < 1000
+        else options.requests
+        if not task.burst
+        else task.requests,
+    )
 
 
 def run_modes(bench: Bench, options: Options, console: Console) -> dict[str, Any]:
@@ -361,14 +414,28 @@
                 each = f"{kb:.2f}"
                 out[name] = {"plain": found[0], "idle": found[1], "kb_each": kb}
                 bare, full = found
-                table.add_row(name, f"{full.cpu_ms:.3f}", f"none idle: {bare.cpu_ms:.3f}",
-                              f"{full.cpu_ms / bare.cpu_ms:.2f}", "", f"{full.figures.p99 / 1e3:.1f}", each)
+                table.add_row(
+                    name,
+                    f"{full.cpu_ms:.3f}",
+                    f"none idle: {bare.cpu_ms:.3f}",
+                    f"{full.cpu_ms / bare.cpu_ms:.2f}",
+                    "",
+                    f"{full.figures.p99 / 1e3:.1f}",
+                    each,
+                )
                 continue
             ratio = paired(bench, node, forwarder, fit(task, options), options.rounds if not task.cut else 2)
             out[name] = ratio
-            table.add_row(name, f"{ratio.node_ms:.3f}", f"{ratio.forwarder_ms:.3f}", f"{ratio.ratio:.1f}",
-                          f"{ratio.lowest:.1f}-{ratio.highest:.1f}", f"{ratio.node_p99_us / 1e3:.1f}", each,
-                          str(ratio.wrong or ""))
+            table.add_row(
+                name,
+                f"{ratio.node_ms:.3f}",
+                f"{ratio.forwarder_ms:.3f}",
+                f"{ratio.ratio:.1f}",
+                f"{ratio.lowest:.1f}-{ratio.highest:.1f}",
+                f"{ratio.node_p99_us / 1e3:.1f}",
+                each,
+                str(ratio.wrong or ""),
+            )
             out[name + ", peak kB"] = {side.kind: memory(side.pid, "VmHWM") for side in (node, forwarder)}
         finally:
             node.end()
@@ -397,12 +464,18 @@
     out: dict[str, Any] = {}
     for kind in ("node", "forwarder"):
         found = counted(bench, kind, requests, Town(), Task(0))
-        out[kind] = {"system": per(found.system, requests), "marks": per(found.marks, requests),
-                     **{name: getattr(found, name) / requests
-                        for name in ("python_calls", "c_calls", "blocks_left", "objects_left")},
-                     "parts": per({k: 1e6 * v for k, v in found.parts.items()}, requests),
-                     "functions": [(n, round(c / requests, 2), round(1e6 * t / requests, 2))
-                                   for n, c, t in found.functions]}
+        out[kind] = {
+            "system": per(found.system, requests),
+            "marks": per(found.marks, requests),
+            **{
+                name: getattr(found, name) / requests
+                for name in ("python_calls", "c_calls", "blocks_left", "objects_left")
+            },
+            "parts": per({k: 1e6 * v for k, v in found.parts.items()}, requests),
+            "functions": [
+                (n, round(c / requests, 2), round(1e6 * t / requests, 2)) for n, c, t in found.functions
+            ],
+        }
         side = bench.side(kind)
         bench.measure(side, Task(0, requests=100))
         out[kind]["strace, 1 client"] = traced(bench, side, Task(0, requests=400, clients=1))
@@ -432,20 +505,39 @@
         table.add_column(name)
     for name in dict.fromkeys([*by_samples, *found.parts]):
         share = by_samples.get(name, 0)
-        table.add_row(name, f"{100 * share:.1f} %", f"{plain.cpu_ms * share:.3f}",
-                      f"{100 * found.parts.get(name, 0) / total:.1f} %")
+        table.add_row(
+            name,
+            f"{100 * share:.1f} %",
+            f"{plain.cpu_ms * share:.3f}",
+            f"{100 * found.parts.get(name, 0) / total:.1f} %",
+        )
     console.print(table)
     for name, calls, took in found.functions[:25]:
         console.print(f"{took / 400 * 1e6:8.1f} us {calls / 400:8.2f} calls  {name}")
-    return {"cpu_ms": plain.cpu_ms, "sampled": by_samples, "functions": found.functions,
-            "profiled": {name: took / total for name, took in found.parts.items()}}
+    return {
+        "cpu_ms": plain.cpu_ms,
+        "sampled": by_samples,
+        "functions": found.functions,
+        "profiled": {name: took / total for name, took in found.parts.items()},
+    }
 
 
 def run_rates(bench: Bench, options: Options, console: Console) -> dict[str, Any]:
     out: dict[str, Any] = {}
     table = Table(title="open loop")
-    for name in ("program", "takes", "share", "rate", "CPU ms", "busy", "p50 ms", "p99", "p99.9", "late p99",
-                 "peak MB"):
+    for name in (
+        "program",
+        "takes",
+        "share",
+        "rate",
+        "CPU ms",
+        "busy",
+        "p50 ms",
+        "p99",
+        "p99.9",
+        "late p99",
+        "peak MB",
+    ):
         table.add_column(name)
     for kind in ("node", "forwarder"):
         side = bench.side(kind)
@@ -458,9 +550,16 @@
             out[kind][str(share)] = found
             figures = found.figures
             times = (figures.p50, figures.p99, figures.p999, figures.late)
-            table.add_row(kind, f"{most:.0f}", f"{share:.0%}", f"{rate:.0f}", f"{found.cpu_ms:.3f}",
-                          f"{found.busy:.2f}", *(f"{us / 1e3:.2f}" for us in times),
-                          f"{memory(side.pid, 'VmHWM') / 1024:.1f}")
+            table.add_row(
+                kind,
+                f"{most:.0f}",
+                f"{share:.0%}",
+                f"{rate:.0f}",
+                f"{found.cpu_ms:.3f}",
+                f"{found.busy:.2f}",
+                *(f"{us / 1e3:.2f}" for us in times),
+                f"{memory(side.pid, 'VmHWM') / 1024:.1f}",
+            )
         side.end()
     console.print(table)
     return out
@@ -488,10 +587,20 @@
             time.sleep(1.0)
             rest = cpu(large.pid) - before
             small_ms, large_ms = (statistics.median(p[i] for p in pairs) for i in (0, 1))
-            out[f"{what} {name}"] = {"small_ms": small_ms, "ms": large_ms, "rest": rest,
-                                     "times": statistics.median(b / a for a, b in pairs)}
-            table.add_row(what, name, f"{small_ms:.3f}", f"{large_ms:.3f}",
-                          f"{out[f'{what} {name}']['times']:.2f}", f"{rest:.3f}")
+            out[f"{what} {name}"] = {
+                "small_ms": small_ms,
+                "ms": large_ms,
+                "rest": rest,
+                "times": statistics.median(b / a for a, b in pairs),
+            }
+            table.add_row(
+                what,
+                name,
+                f"{small_ms:.3f}",
+                f"{large_ms:.3f}",
+                f"{out[f'{what} {name}']['times']:.2f}",
+                f"{rest:.3f}",
+            )
             bench.measure(small, Task(0, requests=0))
             small.end()
             large.end()
@@ -507,8 +616,10 @@
         console.print("no valgrind: instructions were not counted")
         return {}
     log, wrapper = (os.path.join(bench.folder.name, name) for name in ("valgrind.txt", "python"))
-    Path(wrapper).write_text(f"#!/bin/sh\nexec {valgrind} --tool=callgrind --callgrind-out-file=/dev/null "
-                             f'--log-file={log} {bench.python} "$@"\n')
+    Path(wrapper).write_text(
+        f"#!/bin/sh\nexec {valgrind} --tool=callgrind --callgrind-out-file=/dev/null "
+        f'--log-file={log} {bench.python} "$@"\n'
+    )
     os.chmod(wrapper, 0o755)
     bench.python, plain = wrapper, bench.python
     out: dict[str, Any] = {}
@@ -531,8 +642,14 @@
     return out
 
 
-RUNS = {"modes": run_modes, "counts": run_counts, "profile": run_profile, "rates": run_rates,
-        "growth": run_growth, "instructions": run_instructions}
+RUNS = {
+    "modes": run_modes,
+    "counts": run_counts,
+    "profile": run_profile,
+    "rates": run_rates,
+    "growth": run_growth,
+    "instructions": run_instructions,
+}
 
 
 @click.command()
@@ -550,8 +667,17 @@
 @click.option("--tree", default=str(ROOT), help="Where the node's package lies.")
 @click.option("--python", default=sys.executable, help="Runs the programs.")
 @click.option("--json", "path", type=click.Path(dir_okay=False), help="Where the figures go.")
-def main(wanted: str | None, rounds: int, requests: int, seconds: float, only: str, cpus: str, tree: str,
-         python: str, path: str | None) -> None:
+def main(
+    wanted: str | None,
+    rounds: int,
+    requests: int,
+    seconds: float,
+    only: str,
+    cpus: str,
+    tree: str,
+    python: str,
+    path: str | None,
+) -> None:
     """Without one of the first six, all of them."""
     hard = resource.getrlimit(resource.RLIMIT_NOFILE)[1]
     resource.setrlimit(resource.RLIMIT_NOFILE, (hard, hard))
--- a/benchmarks/restarts.py
+++ b/benchmarks/restarts.py
@@ -24,8 +24,17 @@
 
 COLD = "cold"
 FIRST, AFTER = 2 * SECOND, 10 * SECOND
-PLACES = ("same node again", "no listener", "cut at the end", "starting: refused", "starting: else",
-          "later: refused", "later: else", "other nodes: refused", "other nodes: else")
+PLACES = (
+    "same node again",
+    "no listener",
+    "cut at the end",
+    "starting: refused",
+    "starting: else",
+    "later: refused",
+    "later: else",
+    "other nodes: refused",
+    "other nodes: else",
+)
 
 
 class Absence(NamedTuple):
@@ -84,8 +93,9 @@
 
 def day(job: tuple[str, int, str, int, int, float]) -> Told:
     scenario, seed, operator, nodes, boxes, seconds = job
-    case = experiment.Case(scenario=scenario, seed=seed, operator=operator, nodes=nodes, boxes=boxes,
-                           seconds=seconds)
+    case = experiment.Case(
+        scenario=scenario, seed=seed, operator=operator, nodes=nodes, boxes=boxes, seconds=seconds
+    )
     outcome = experiment.play(case)
     if outcome.void:
         raise SystemExit(f"{job}: {outcome.void}")
@@ -108,11 +118,23 @@
     for counters in outcome.counters:
         for name, count in counters.items():
             total[name] += count
-    worths = {"after starts": figures.after_starts, "goodput": figures.goodput, "whole": figures.whole,
-              "window": figures.window, "starts": float(figures.starts)}
+    worths = {
+        "after starts": figures.after_starts,
+        "goodput": figures.goodput,
+        "whole": figures.whole,
+        "window": figures.window,
+        "starts": float(figures.starts),
+    }
     broken = len(judge.judge(outcome).violations)
-    return Told(worths, dict(lost), asked, other_lost / other if other else 0.0,
-                sum(s.ready - s.gone for s in spans) / SECOND, broken, dict(total))
+    return Told(
+        worths,
+        dict(lost),
+        asked,
+        other_lost / other if other else 0.0,
+        sum(s.ready - s.gone for s in spans) / SECOND,
+        broken,
+        dict(total),
+    )
 
 
 def spread(values: Sequence[float]) -> str:
@@ -123,8 +145,10 @@
 def report(kept: dict[str, list[Told]], say: Callable[[str], object]) -> None:
     cold = kept[COLD]
     chosen = [n for n, one in enumerate(cold) if one.worths["starts"]]
-    say(f"{len(chosen)} of {len(cold)} days have starts, {sum(o.worths['starts'] for o in cold):.0f} in all; "
-        f"nobody listened at a node for {np.mean([cold[n].absent for n in chosen]):.2f} s a day")
+    say(
+        f"{len(chosen)} of {len(cold)} days have starts, {sum(o.worths['starts'] for o in cold):.0f} in all; "
+        f"nobody listened at a node for {np.mean([cold[n].absent for n in chosen]):.2f} s a day"
+    )
     for name, days in kept.items():
         say(f"{name}: violations {sum(one.violations for one in days)}")
         for figure in ("after starts", "goodput", "window"):
@@ -133,14 +157,18 @@
             more = "" if name == COLD else f"   less cold: {spread(beside)}"
             say(f"  {figure:13s} {np.mean(values):.4f}{more}")
         asked = sum(days[n].asked for n in chosen)
-        say(f"  lost around restarts {sum(sum(days[n].lost.values()) for n in chosen) / asked:.4f} of "
-            f"what was asked there, elsewhere {np.mean([days[n].base for n in chosen]):.4f}")
+        say(
+            f"  lost around restarts {sum(sum(days[n].lost.values()) for n in chosen) / asked:.4f} of "
+            f"what was asked there, elsewhere {np.mean([days[n].base for n in chosen]):.4f}"
+        )
         for what in PLACES:
             share = [days[n].lost.get(what, 0.0) / (days[n].asked or 1.0) for n in chosen]
             low, high = interval(np.array(share))
             say(f"    {what:22s} {np.mean(share):.4f} ({low:.4f} .. {high:.4f})")
-        counts = {k: sum(one.counters.get(k, 0) for one in days) for k in sorted(
-            {k for one in days for k in one.counters if k.startswith(("warm_", "snapshot"))})}
+        counts = {
+            k: sum(one.counters.get(k, 0) for one in days)
+            for k in sorted({k for one in days for k in one.counters if k.startswith(("warm_", "snapshot"))})
+        }
         say(f"  {counts}")
 
 
@@ -158,14 +186,17 @@
     told = parser.parse_args()
     sides = {COLD: "", **dict(word.split("=", 1) for word in told.kept)}
     seeds = range(told.first, told.first + told.seeds)
-    jobs = [(told.scenario, seed, file, told.nodes, told.boxes, told.seconds)
-            for seed in seeds for file in sides.values()]
+    jobs = [
+        (told.scenario, seed, file, told.nodes, told.boxes, told.seconds)
+        for seed in seeds
+        for file in sides.values()
+    ]
     played = []
     with get_context("spawn").Pool(told.processes, maxtasksperchild=4) as pool:
         for number, one in enumerate(pool.imap(day, jobs)):
             played.append(one)
             print(f"{number + 1} of {len(jobs)}", end="\r", file=sys.stderr, flush=True)
-    kept = {name: played[at::len(sides)] for at, name in enumerate(sides)}
+    kept = {name: played[at :: len(sides)] for at, name in enumerate(sides)}
     report(kept, print)
     if told.json:
         with open(told.json, "w") as file:
--- a/benchmarks/sizes.py
+++ b/benchmarks/sizes.py
@@ -30,16 +30,41 @@
 
 def configuration(size: int, own: str, peers: list[str], discovery: str) -> dict[str, Any]:
     settings = {
-        "requestClasses": [{"name": "quote", "target": 200_000, "deadline": 5_000_000,
-                            "idempotency": "retryable"}],
-        "tenants": [{"name": "acme"}], "failureDomains": [f"z{n}" for n in range(ZONES)], "kinds": ["box"],
-        "discovery": "ask", "siblings": size, "ordinal": 0,
-        "permissions": {"mayTell": True, "cancel": True, "keepalive": 5_000_000}}
-    servers = [{"id": f"s-{n:08x}", "addr": f"127.0.0.1:{20_000 + n}", "zone": f"z{n % ZONES}", "kind": "box",
-                "cell": n // 8, "state": "up", "weight": 1.0, "started_ms": 0} for n in range(size)]
-    return {"name": "n0", "listen": "127.0.0.1:0", "discovery": discovery, "seed": "1",
-            "limits": {"sockets": 1024}, "peer_listen": own, "peers": peers, "settings": settings,
-            "known": {"version": 1, "full": True, "servers": servers}}
+        "requestClasses": [
+            {"name": "quote", "target": 200_000, "deadline": 5_000_000, "idempotency": "retryable"}
+        ],
+        "tenants": [{"name": "acme"}],
+        "failureDomains": [f"z{n}" for n in range(ZONES)],
+        "kinds": ["box"],
+        "discovery": "ask",
+        "siblings": size,
+        "ordinal": 0,
+        "permissions": {"mayTell": True, "cancel": True, "keepalive": 5_000_000},
+    }
+    servers = [
+        {
+            "id": f"s-{n:08x}",
+            "addr": f"127.0.0.1:{20_000 + n}",
+            "zone": f"z{n % ZONES}",
+            "kind": "box",
+            "cell": n // 8,
+            "state": "up",
+            "weight": 1.0,
+            "started_ms": 0,
+        }
+        for n in range(size)
+    ]
+    return {
+        "name": "n0",
+        "listen": "127.0.0.1:0",
+        "discovery": discovery,
+        "seed": "1",
+        "limits": {"sockets": 1024},
+        "peer_listen": own,
+        "peers": peers,
+        "settings": settings,
+        "known": {"version": 1, "full": True, "servers": servers},
+    }
 
 
 def measure(size: int) -> dict[str, float]:
@@ -55,8 +80,11 @@
         json.dump(configuration(size, here, [here, *at[1:], *silent], there), file)
         file.flush()
         begun = time.monotonic()
-        program = subprocess.Popen([sys.executable, "-m", "violetsaddle"], stderr=subprocess.PIPE,
-                                   env={**os.environ, "RELAY_CONFIG": file.name})
+        program = subprocess.Popen(
+            [sys.executable, "-m", "violetsaddle"],
+            stderr=subprocess.PIPE,
+            env={**os.environ, "RELAY_CONFIG": file.name},
+        )
         try:
             assert program.stderr is not None
             while b"listening" not in program.stderr.readline():
@@ -64,13 +92,18 @@
             row = {"start, s": time.monotonic() - begun}
             for _ in range(SECONDS):
                 for number, peer in enumerate(heard[1:], 1):
-                    peer.sendto(bytes((0x80 | (number % ZONES) << 2 if size > 17 else 0,)),
-                                ("127.0.0.1", int(here.rpartition(":")[2])))
+                    peer.sendto(
+                        bytes((0x80 | (number % ZONES) << 2 if size > 17 else 0,)),
+                        ("127.0.0.1", int(here.rpartition(":")[2])),
+                    )
                 time.sleep(1)
             held = Path(f"/proc/{program.pid}")
             ticks = (held / "stat").read_text().rpartition(")")[2].split()[11:13]
-            memory = dict(line.split()[:2] for line in (held / "status").read_text().splitlines()
-                          if line.startswith("Vm"))
+            memory = dict(
+                line.split()[:2]
+                for line in (held / "status").read_text().splitlines()
+                if line.startswith("Vm")
+            )
             row["CPU, s"] = sum(map(int, ticks)) / os.sysconf("SC_CLK_TCK")
             row["memory, kB"], row["peak, kB"] = int(memory["VmRSS:"]), int(memory["VmHWM:"])
             row["descriptors"] = len(list((held / "fd").iterdir()))
@@ -85,8 +118,12 @@
 def main(sizes: list[int]) -> None:
     for size in sizes:
         row = measure(size)
-        print(f"| {size} | " + " | ".join(f"{value:.2f}" if value % 1 else f"{value:.0f}"
-                                          for value in row.values()) + " |", flush=True)
+        print(
+            f"| {size} | "
+            + " | ".join(f"{value:.2f}" if value % 1 else f"{value:.0f}" for value in row.values())
+            + " |",
+            flush=True,
+        )
 
 
 if __name__ == "__main__":
--- a/benchmarks/soak.py
+++ b/benchmarks/soak.py
@@ -55,16 +55,23 @@
 class Child:
     """A child process whose lines are read as they come; it dies with this one."""
 
-    def __init__(self, command: list[str], env: dict[str, str], cwd: str, core: int | None,
-                 errors: bool = False) -> None:
+    def __init__(
+        self, command: list[str], env: dict[str, str], cwd: str, core: int | None, errors: bool = False
+    ) -> None:
         def before() -> None:
             ctypes.CDLL(None).prctl(DEATH, signal.SIGKILL)
             if core is not None:
                 os.sched_setaffinity(0, {core})
 
         self.process = subprocess.Popen(
-            command, env=env, cwd=cwd, stdin=subprocess.PIPE, stdout=None if errors else subprocess.PIPE,
-            stderr=subprocess.PIPE if errors else None, preexec_fn=before)
+            command,
+            env=env,
+            cwd=cwd,
+            stdin=subprocess.PIPE,
+            stdout=None if errors else subprocess.PIPE,
+            stderr=subprocess.PIPE if errors else None,
+            preexec_fn=before,
+        )
         stream = self.process.stderr if errors else self.process.stdout
         assert stream is not None
         self.lines: queue.Queue[bytes] = queue.Queue()
@@ -134,8 +141,14 @@
         sizes = {line[:5]: int(line.split()[1]) for line in file if line.startswith(("VmRSS", "VmHWM"))}
     with open(f"/proc/{pid}/stat") as file:
         fields = file.read().rpartition(")")[2].split()
-    return Sample(round(time.monotonic() - start, 2), ended, sizes["VmRSS"], sizes["VmHWM"],
-                  (int(fields[11]) + int(fields[12])) / TICK, mark)
+    return Sample(
+        round(time.monotonic() - start, 2),
+        ended,
+        sizes["VmRSS"],
+        sizes["VmHWM"],
+        (int(fields[11]) + int(fields[12])) / TICK,
+        mark,
+    )
 
 
 def free_port() -> int:
@@ -150,28 +163,67 @@
     effects = {"quote": "retryable", "charge": "dedup", "settle": "fragile"}
     own = f"{HOST}:{free_port()}"
     settings = {
-        "requestClasses": [{"name": lane, "target": SECOND // 5, "deadline": 5 * SECOND, "group": "all",
-                            "dedupWindow": 5 * SECOND, "idempotency": effects[lane]} for lane in LANES],
+        "requestClasses": [
+            {
+                "name": lane,
+                "target": SECOND // 5,
+                "deadline": 5 * SECOND,
+                "group": "all",
+                "dedupWindow": 5 * SECOND,
+                "idempotency": effects[lane],
+            }
+            for lane in LANES
+        ],
         "tenants": [{"name": name, "share": share} for name, share in TENANTS.items()],
-        "failureDomains": ["east"], "kinds": ["box"], "discovery": "ask", "period": 1000,
+        "failureDomains": ["east"],
+        "kinds": ["box"],
+        "discovery": "ask",
+        "period": 1000,
         "siblings": 2 if full else 1,
         # Boxes here tell no progress: where flows are held, none may be waited for.
-        "familyInfo": {"reportX0": "free slots", "tellsStart": not spec.in_flight,
-                       "progress": 0 if spec.in_flight else SECOND},
-        "permissions": {"cancel": True, "retryAfter": True, "mostTries": 3, "keepalive": 5 * SECOND,
-                        "dialTimeout": SECOND // 5, "mayProbe": full, "mayTell": full}}
+        "familyInfo": {
+            "reportX0": "free slots",
+            "tellsStart": not spec.in_flight,
+            "progress": 0 if spec.in_flight else SECOND,
+        },
+        "permissions": {
+            "cancel": True,
+            "retryAfter": True,
+            "mostTries": 3,
+            "keepalive": 5 * SECOND,
+            "dialTimeout": SECOND // 5,
+            "mayProbe": full,
+            "mayTell": full,
+        },
+    }
     if full:
         settings["report"] = {"names": ["x0", "utilization"], "via": "pull"}
-    return {"name": "soaked", "listen": f"{HOST}:0", "seed": "5", "limits": {"sockets": sockets},
-            "discovery": f"{HOST}:{discovery}", "settings": settings,
-            **({"peer_listen": own, "peers": [own, f"{HOST}:{peer}"]} if full else {})}
+    return {
+        "name": "soaked",
+        "listen": f"{HOST}:0",
+        "seed": "5",
+        "limits": {"sockets": sockets},
+        "discovery": f"{HOST}:{discovery}",
+        "settings": settings,
+        **({"peer_listen": own, "peers": [own, f"{HOST}:{peer}"]} if full else {}),
+    }
 
 
 class Run:
     """One run; `result` holds its figures once it is over."""
 
-    def __init__(self, spec: Spec, marks: list[int], most_seconds: float, every: float, python: str,
-                 tree: str, gc_stats: bool, stall: bool, cores: list[int | None]) -> None:
+    def __init__(
+        self,
+        spec: Spec,
+        marks: list[int],
+        most_seconds: float,
+        every: float,
+        python: str,
+        tree: str,
+        gc_stats: bool,
+        stall: bool,
+        cores: list[int | None],
+    ) -> None:
         self.spec, self.marks, self.most_seconds, self.every = spec, marks, most_seconds, every
         self.python, self.tree, self.gc_stats, self.stall, self.cores = python, tree, gc_stats, stall, cores
         self.samples: list[Sample] = []
@@ -181,8 +233,9 @@
 
     def stand_in(self, role: str, core: int | None) -> Child:
         spec = msgspec.json.encode(self.spec).decode()
-        made = Child([sys.executable, "-m", "benchmarks.standins", role, spec], dict(os.environ), str(ROOT),
-                     core)
+        made = Child(
+            [sys.executable, "-m", "benchmarks.standins", role, spec], dict(os.environ), str(ROOT), core
+        )
         self.children.append(made)
         return made
 
@@ -231,13 +284,20 @@
             collector = None
         first, last = self.samples[0], self.samples[-1]
         self.result = {
-            "mix": self.spec.mix, "rate_wanted": self.spec.rate, "seconds": last.seconds, "ended": last.ended,
+            "mix": self.spec.mix,
+            "rate_wanted": self.spec.rate,
+            "seconds": last.seconds,
+            "ended": last.ended,
             "rate_reached": round(last.ended / max(0.01, last.seconds), 1),
-            "statuses": crowd.said.get("statuses", {}), "held": crowd.said.get("held", 0),
+            "statuses": crowd.said.get("statuses", {}),
+            "held": crowd.said.get("held", 0),
             "cpu_ms_per_request": round(1e3 * (last.cpu_s - first.cpu_s) / max(1, last.ended), 3),
-            "peak_kb": last.peak_kb, "samples": self.samples,
+            "peak_kb": last.peak_kb,
+            "samples": self.samples,
             "counters": {k: int(v) for k, _, v in (c.partition("=") for c in counters.split())},
-            "stall": self.stalls, "collector": collector}
+            "stall": self.stalls,
+            "collector": collector,
+        }
 
     def _watch(self, node: Child, crowd: Child, told: Child, key: str, ping: Child | None) -> None:
         """Takes samples until the last milestone or the end of the time."""
@@ -272,19 +332,30 @@
         click.echo(f"{now.seconds:7.1f} {now.ended:8d} {now.rss_kb:10d} {'':7} {now.peak_kb:10d}")
         return
     each = 1e3 * (now.cpu_s - before.cpu_s) / max(1, now.ended - before.ended)
-    click.echo(f"{now.seconds:7.1f} {now.ended:8d} {now.rss_kb:10d} {now.rss_kb - before.rss_kb:+7d}"
-               f" {now.peak_kb:10d} {each:8.3f}" + (f"   milestone {now.mark}" if now.mark else ""))
+    click.echo(
+        f"{now.seconds:7.1f} {now.ended:8d} {now.rss_kb:10d} {now.rss_kb - before.rss_kb:+7d}"
+        f" {now.peak_kb:10d} {each:8.3f}" + (f"   milestone {now.mark}" if now.mark else "")
+    )
 
 
 def report(result: dict[str, Any]) -> Iterator[str]:
-    for key in ("mix", "ended", "held", "seconds", "rate_wanted", "rate_reached", "cpu_ms_per_request",
-                "peak_kb"):
+    for key in (
+        "mix",
+        "ended",
+        "held",
+        "seconds",
+        "rate_wanted",
+        "rate_reached",
+        "cpu_ms_per_request",
+        "peak_kb",
+    ):
         yield f"{key}: {result[key]}"
     yield "statuses: " + " ".join(f"{k}={v}" for k, v in sorted(result["statuses"].items()))
     yield "counters: " + " ".join(f"{k}={v}" for k, v in result["counters"].items())
     for at, stall in result["stall"].items():
         yield f"round trips up to {at}: " + " ".join(
-            f"{k}={v}" for k, v in stall.items() if k == "pings" or k.endswith("_us"))
+            f"{k}={v}" for k, v in stall.items() if k == "pings" or k.endswith("_us")
+        )
     for generation, what in enumerate(result["collector"] or ()):
         yield f"collector {generation}: " + " ".join(f"{k}={v}" for k, v in what.items())
 
@@ -307,14 +378,39 @@
 @click.option("--python", default=sys.executable, help="Runs the node.")
 @click.option("--tree", default=str(ROOT), help="Where the node's package lies.")
 @click.option("--json", "path", type=click.Path(dir_okay=False), help="Where the figures go.")
-def main(requests: str, rate: float | None, mix: str, clients: int | None, boxes: int, churn_rate: float,
-         in_flight: int, fresh_calls: bool, stall: bool, gc_stats: bool, most_seconds: float, every: float,
-         seed: int, cpus: str, python: str, tree: str, path: str | None) -> None:
+def main(
+    requests: str,
+    rate: float | None,
+    mix: str,
+    clients: int | None,
+    boxes: int,
+    churn_rate: float,
+    in_flight: int,
+    fresh_calls: bool,
+    stall: bool,
+    gc_stats: bool,
+    most_seconds: float,
+    every: float,
+    seed: int,
+    cpus: str,
+    python: str,
+    tree: str,
+    path: str | None,
+) -> None:
     marks = [int(n) for n in (requests or ("10000" if mix == "churn" else "10000,100000")).split(",")]
     churn = mix == "churn"
-    spec = Spec(mix=mix, rate=rate or RATES[mix], total=0 if churn else marks[-1], boxes=boxes, seed=seed,
-                clients=clients or CLIENTS[mix], ids=marks[-1] if churn else 0, churn_rate=churn_rate,
-                in_flight=in_flight, fresh_calls=fresh_calls)
+    spec = Spec(
+        mix=mix,
+        rate=rate or RATES[mix],
+        total=0 if churn else marks[-1],
+        boxes=boxes,
+        seed=seed,
+        clients=clients or CLIENTS[mix],
+        ids=marks[-1] if churn else 0,
+        churn_rate=churn_rate,
+        in_flight=in_flight,
+        fresh_calls=fresh_calls,
+    )
     cores: list[int | None] = [int(c) for c in cpus.split(",")] if cpus else [None, None, None]
     signal.signal(signal.SIGTERM, lambda *_: sys.exit(1))
     run = Run(spec, sorted(marks), most_seconds, every, python, tree, gc_stats, stall, cores)
--- a/benchmarks/standins.py
+++ b/benchmarks/standins.py
@@ -82,8 +82,29 @@
     "z": Plan(ACCEPTED, ("started",)),  # held as long as the client stays
 }
 # Weights of the mixture: boxes' endings, clients', and bad messages, each on a connection of its own.
-ENDINGS = {"a": 34, "b": 4, "c": 5, "d": 4, "e": 3, "f": 3, "g": 3, "h": 3, "i": 2, "j": 4, "k": 4, "l": 4,
-           "m": 6, "n": 2, "p": 5, "q": 2, "R": 3, "S": 2, "T": 2, "U": 2, "V": 3}
+ENDINGS = {
+    "a": 34,
+    "b": 4,
+    "c": 5,
+    "d": 4,
+    "e": 3,
+    "f": 3,
+    "g": 3,
+    "h": 3,
+    "i": 2,
+    "j": 4,
+    "k": 4,
+    "l": 4,
+    "m": 6,
+    "n": 2,
+    "p": 5,
+    "q": 2,
+    "R": 3,
+    "S": 2,
+    "T": 2,
+    "U": 2,
+    "V": 3,
+}
 BAD = {"R": "X Bad: 1\r\n", "S": "X-Long: " + "x" * 20_000 + "\r\n", "T": "Transfer-Encoding: chunked\r\n"}
 
 
@@ -94,7 +115,7 @@
 
 def between(text: bytes, mark: bytes, end: bytes = b"\r\n") -> bytes:
     at = text.find(mark)
-    return text[at + len(mark):text.find(end, at)] if at >= 0 else b""
+    return text[at + len(mark) : text.find(end, at)] if at >= 0 else b""
 
 
 class Framed(asyncio.Protocol):
@@ -112,11 +133,11 @@
     def data_received(self, data: bytes) -> None:
         self.held += data
         while (end := self.held.find(b"\r\n\r\n")) >= 0:
-            head = self.held[:end + 2]
+            head = self.held[: end + 2]
             length = int(between(head, b"ontent-Length: ") or 0)
             if len(self.held) < end + 4 + length:
                 return
-            body, self.held = self.held[end + 4:end + 4 + length], self.held[end + 4 + length:]
+            body, self.held = self.held[end + 4 : end + 4 + length], self.held[end + 4 + length :]
             self.message(head, body)
 
     def message(self, head: bytes, body: bytes) -> None:
@@ -180,7 +201,8 @@
     async def connect(self) -> None:
         try:
             _, line = await self.town.loop.create_connection(
-                lambda: Call(self.waiting, self.lost, False), HOST, self.town.spec.node)
+                lambda: Call(self.waiting, self.lost, False), HOST, self.town.spec.node
+            )
             self.call_line = line
         finally:
             self.calling = False
@@ -191,8 +213,11 @@
             self.town.spawn(self.connect())
 
     def alone(self, call: bytes) -> None:
-        self.town.spawn(self.town.loop.create_connection(
-            lambda: Call(deque([call]), lambda: None, True), HOST, self.town.spec.node))
+        self.town.spawn(
+            self.town.loop.create_connection(
+                lambda: Call(deque([call]), lambda: None, True), HOST, self.town.spec.node
+            )
+        )
 
 
 class BoxLine(Framed):
@@ -304,12 +329,17 @@
         for number in range(self.spec.boxes):
             self.names.append(f"s-{number:07d}")
             self.boxes.append([Box(self, self.names[-1]) for _ in range(PORTS_EACH)])
-            self.ports.append([await self.listen(lambda box=box: BoxLine(box))  # type: ignore[misc]
-                               for box in self.boxes[-1]])
+            self.ports.append(
+                [
+                    await self.listen(lambda box=box: BoxLine(box))  # type: ignore[misc]
+                    for box in self.boxes[-1]
+                ]
+            )
         if self.spec.mix == "endings":
             self.extra = {"s-refuses": self.closed(), "s-mute": self.mute()}
-        peers = [(await self.loop.create_datagram_endpoint(Peer, (HOST, 0)))[1]
-                 for _ in range(self.spec.peers)]
+        peers = [
+            (await self.loop.create_datagram_endpoint(Peer, (HOST, 0)))[1] for _ in range(self.spec.peers)
+        ]
         ports = [peer.transport.get_extra_info("sockname")[1] for peer in peers]
         say(discovery=await self.listen(lambda: Watch(self)), peer=ports[0], peers=ports)
 
@@ -338,8 +368,16 @@
         return int(sock.getsockname()[1])
 
     def entry(self, name: str, port: int, cell: int, state: str = "up") -> dict[str, Any]:
-        return {"id": name, "addr": f"{HOST}:{port}", "zone": "east", "kind": "box", "cell": cell % 2,
-                "state": state, "weight": 1.0, "started_ms": 0}
+        return {
+            "id": name,
+            "addr": f"{HOST}:{port}",
+            "zone": "east",
+            "kind": "box",
+            "cell": cell % 2,
+            "state": state,
+            "weight": 1.0,
+            "started_ms": 0,
+        }
 
     def listing(self, after: int) -> dict[str, Any]:
         if after >= 0 and (after >= self.version or (self.changes and self.changes[0][0] <= after + 1)):
@@ -456,10 +494,12 @@
     def request(self, code: str, lane: str, tenant: str, number: int, wait: int = 0) -> bytes:
         wait = wait or (SHORT if code in "giq" else LONG)
         key = f"Idempotency-Key: k{number:08x}\r\n" if lane == "charge" else ""
-        return (f"POST /api?sid={number:016x} HTTP/1.1\r\nHost: backend.local\r\n"
-                f"X-Txn: {code}{number:08x}\r\nX-Lane: {lane}\r\nX-Org: {tenant}\r\nX-Remaining: {wait}m\r\n"
-                f"{key}{BAD.get(code, '')}"
-                "Content-Length: 11\r\n\r\nhello world").encode()
+        return (
+            f"POST /api?sid={number:016x} HTTP/1.1\r\nHost: backend.local\r\n"
+            f"X-Txn: {code}{number:08x}\r\nX-Lane: {lane}\r\nX-Org: {tenant}\r\nX-Remaining: {wait}m\r\n"
+            f"{key}{BAD.get(code, '')}"
+            "Content-Length: 11\r\n\r\nhello world"
+        ).encode()
 
     def spawn(self, data: bytes = b"", last: float = -1.0, once: bool = False) -> None:
         task = self.loop.create_task(self.connect(data, last, once))
@@ -480,7 +520,7 @@
         code, lane, tenant = next(self.draws)
         data = self.request(code, lane, tenant, number)
         if code == "U":
-            self.spawn(data[:len(data) - 40], 0.02, once=True)  # leaves in the middle of its request
+            self.spawn(data[: len(data) - 40], 0.02, once=True)  # leaves in the middle of its request
         elif code == "V":
             self.spawn(data.replace(b"X-Lane: ", b"X-Lane: un"), once=True)  # a class that nobody knows
         elif code in BAD:
@@ -511,8 +551,13 @@
         """Opens the flows that are to be in flight all the time; a few at once, not to choke the node."""
         for number in range(1, self.spec.in_flight + 1):
             data = self.request("z", "quote", "acme", number, HELD)
-            _, line = await self.loop.create_connection(lambda data=data: Line(  # type: ignore[misc]
-                self, data, once=True), HOST, self.spec.node)
+            _, line = await self.loop.create_connection(
+                lambda data=data: Line(  # type: ignore[misc]
+                    self, data, once=True
+                ),
+                HOST,
+                self.spec.node,
+            )
             line.since = 0.0  # neither counted nor given up
             del self.out[line]
             self.held.append(line)
@@ -578,8 +623,11 @@
         due = max(due + 0.005, now)
         if now - told > 0.5:
             told = now
-            say(pings=seen.get_total_count(), max_us=seen.get_max_value(), **{
-                f"p{q}_us": seen.get_value_at_percentile(q) for q in (50, 99, 99.9)})
+            say(
+                pings=seen.get_total_count(),
+                max_us=seen.get_max_value(),
+                **{f"p{q}_us": seen.get_value_at_percentile(q) for q in (50, 99, 99.9)},
+            )
 
 
 if __name__ == "__main__":
--- a/benchmarks/start.py
+++ b/benchmarks/start.py
@@ -22,9 +22,16 @@
 from rich.table import Table
 
 CONFIG = {
-    "name": "n0", "seed": "1", "discovery": "127.0.0.1:9", "limits": {"sockets": 1024},
-    "settings": {"requestClasses": [{"name": "quote", "target": 200_000, "deadline": 5_000_000,
-                                     "idempotency": "retryable"}]}}
+    "name": "n0",
+    "seed": "1",
+    "discovery": "127.0.0.1:9",
+    "limits": {"sockets": 1024},
+    "settings": {
+        "requestClasses": [
+            {"name": "quote", "target": 200_000, "deadline": 5_000_000, "idempotency": "retryable"}
+        ]
+    },
+}
 UP = b"GET /up HTTP/1.1\r\nHost: n0\r\nConnection: close\r\n\r\n"
 TICK = 0.0005  # seconds between tries to connect
 MOST = 30.0  # seconds for a start
@@ -59,8 +66,14 @@
         if core is not None:
             command = ["taskset", "-c", str(core), "nice", "-n", str(nice), *command]
         began = time.monotonic()
-        node = subprocess.Popen(command, cwd=tree, env=env, stdin=subprocess.DEVNULL,
-                                stdout=subprocess.DEVNULL, stderr=subprocess.DEVNULL)
+        node = subprocess.Popen(
+            command,
+            cwd=tree,
+            env=env,
+            stdin=subprocess.DEVNULL,
+            stdout=subprocess.DEVNULL,
+            stderr=subprocess.DEVNULL,
+        )
         try:
             with _connected(port, began + MOST) as client:
                 listens = time.monotonic()
@@ -75,8 +88,12 @@
             node.wait()
     peak = next(int(line.split()[1]) for line in status.splitlines() if line.startswith("VmHWM"))
     ticks = (int(fields[11]) + int(fields[12])) / os.sysconf("SC_CLK_TCK")
-    return {"ready_ms": 1000 * (ready - began), "listens_ms": 1000 * (listens - began),
-            "cpu_ms": 1000 * ticks, "peak_mb": peak / 1024}
+    return {
+        "ready_ms": 1000 * (ready - began),
+        "listens_ms": 1000 * (listens - began),
+        "cpu_ms": 1000 * ticks,
+        "peak_mb": peak / 1024,
+    }
 
 
 @click.command()
--- a/tests/counted.py
+++ b/tests/counted.py
@@ -11,8 +11,23 @@
 from violetsaddle import __main__
 from violetsaddle.net.node import Node
 
-COUNTED = ("Request", "Attempt", "Flow", "Scheduling", "Deferred", "Deadline", "HttpOrder", "EdgeConnection",
-           "ServerConnection", "RealServer", "Worker", "_Dial", "Client", "Server", "Connector")
+COUNTED = (
+    "Request",
+    "Attempt",
+    "Flow",
+    "Scheduling",
+    "Deferred",
+    "Deadline",
+    "HttpOrder",
+    "EdgeConnection",
+    "ServerConnection",
+    "RealServer",
+    "Worker",
+    "_Dial",
+    "Client",
+    "Server",
+    "Connector",
+)
 
 
 def count(*_: object) -> None:
--- a/tests/helpers.py
+++ b/tests/helpers.py
@@ -59,8 +59,13 @@
 
 
 def make(workers: int = 6, seed: int = 1, cells: int = 2, **changes: Any) -> tuple[Balancer, Recorder]:
-    values: dict[str, Any] = {"classes": CLASSES, "most_attempts": 4, "second_copies": True,
-                              "may_cancel": True, "may_advise": True}
+    values: dict[str, Any] = {
+        "classes": CLASSES,
+        "most_attempts": 4,
+        "second_copies": True,
+        "may_cancel": True,
+        "may_advise": True,
+    }
     values.update(changes)
     recorder = Recorder()
     balancer = Balancer(Settings(**values), seed, 0, recorder)
--- a/tests/killed.py
+++ b/tests/killed.py
@@ -82,8 +82,11 @@
     os.kill(old, signal.SIGUSR2)
     until = time.monotonic() + PATIENCE
     # A successor killed while the old one drains is followed by the old one itself.
-    while time.monotonic() < until and alive(old) and not any(
-            "upgrade failed" in line for line in ground.log[begun:]):
+    while (
+        time.monotonic() < until
+        and alive(old)
+        and not any("upgrade failed" in line for line in ground.log[begun:])
+    ):
         await asyncio.sleep(0.02)
     if kept is not None:
         kept.close()
@@ -100,12 +103,18 @@
             await asyncio.sleep(0.2)
         finally:
             await ground.close()
-        points = [Point(side, name, int(number)) for side, name, number in
-                  (line.split(" ") for line in steps.read_text().splitlines())]
+        points = [
+            Point(side, name, int(number))
+            for side, name, number in (line.split(" ") for line in steps.read_text().splitlines())
+        ]
     started = (Point("old", "started", 1),)  # before that there is no node
-    return [point for point in dict.fromkeys(points)
-            if point.number <= MOST_OF_ONE and point not in started
-            and not (point.side == "old" and point.name.startswith("pid-") and point.number == 1)]
+    return [
+        point
+        for point in dict.fromkeys(points)
+        if point.number <= MOST_OF_ONE
+        and point not in started
+        and not (point.side == "old" and point.name.startswith("pid-") and point.number == 1)
+    ]
 
 
 async def kill(point: Point) -> Result:
@@ -203,8 +212,10 @@
     for result in results:
         state = "; ".join(result.wrong) if result.wrong else "ok" if result.reached else "not reached"
         click.echo(f"{result.point!s:50} {state}")
-    click.echo(f"{len(points)} points, {sum(r.reached for r in results)} reached, "
-               f"{sum(bool(r.wrong) for r in results)} wrong")
+    click.echo(
+        f"{len(points)} points, {sum(r.reached for r in results)} reached, "
+        f"{sum(bool(r.wrong) for r in results)} wrong"
+    )
     sys.exit(1 if any(result.wrong for result in results) else 0)
 
 
--- a/tests/mesh.py
+++ b/tests/mesh.py
@@ -20,9 +20,19 @@
         self.mesh, self.me, self.life = mesh, me, 0
         self.told, self.heard = 0, 0  # datagrams
         self.told_of: list[tuple[int | None, int]] = []  # receiver and size of each
-        self.values = {"classes": CLASSES, "schedulers": mesh.n, "me": me, "zones": 4, "zone": me % 4,
-                       "may_tell": True, "may_cancel": True, "cold_for": 23 * SECOND, "cold_from": 0.14,
-                       "fall_multiple": 4.0, **values}
+        self.values = {
+            "classes": CLASSES,
+            "schedulers": mesh.n,
+            "me": me,
+            "zones": 4,
+            "zone": me % 4,
+            "may_tell": True,
+            "may_cancel": True,
+            "cold_for": 23 * SECOND,
+            "cold_from": 0.14,
+            "fall_multiple": 4.0,
+            **values,
+        }
         self.up = False
         self.balancer: Balancer
 
--- a/tests/scenario.py
+++ b/tests/scenario.py
@@ -36,13 +36,24 @@
 PATIENCE = 20.0  # seconds until a scenario that waits for what never comes has failed
 CLASSES = [
     {"name": "quote", "target": 200_000, "deadline": 5_000_000, "idempotency": "retryable"},
-    {"name": "charge", "target": 200_000, "deadline": 5_000_000, "idempotency": "dedup", "group": "zone",
-     "dedupWindow": 5_000_000},
+    {
+        "name": "charge",
+        "target": 200_000,
+        "deadline": 5_000_000,
+        "idempotency": "dedup",
+        "group": "zone",
+        "dedupWindow": 5_000_000,
+    },
     {"name": "settle", "target": 200_000, "deadline": 5_000_000, "idempotency": "fragile"},
 ]
 SETTINGS: dict[str, Any] = {
-    "requestClasses": CLASSES, "tenants": [{"name": "acme", "share": 1.0}], "failureDomains": ["east"],
-    "kinds": ["box"], "discovery": "push", "period": 1000, "familyInfo": {"reportX0": "free slots"},
+    "requestClasses": CLASSES,
+    "tenants": [{"name": "acme", "share": 1.0}],
+    "failureDomains": ["east"],
+    "kinds": ["box"],
+    "discovery": "push",
+    "period": 1000,
+    "familyInfo": {"reportX0": "free slots"},
     "permissions": {"cancel": True, "retryAfter": True, "mostTries": 3, "keepalive": 60_000_000},
 }
 JOB = "POST /api | X-Txn: {} | X-Lane: {} | X-Org: acme | X-Remaining: 20000m | Idempotency-Key: k1 | | body"
@@ -93,8 +104,14 @@
     told: dict[str, str] = {}  # environment of the program
     successor = 0  # the process id of `next`
 
-    def start(self, settings: dict[str, Any] | None = None, servers: int = 2, version: int = 1,
-              operator: str = "", **config: Any) -> None:
+    def start(
+        self,
+        settings: dict[str, Any] | None = None,
+        servers: int = 2,
+        version: int = 1,
+        operator: str = "",
+        **config: Any,
+    ) -> None:
         self.servers = {f"s-{n}": listener() for n in range(1, servers + 1)}
         self.discovery = listener()
         self.peer, own = datagrams(), datagrams()
@@ -106,11 +123,18 @@
         self.waiting: list[tuple[Line, str]] = []  # heard out of turn
         self.heard: list[Line] = []  # real servers' connections, the one heard last at the end
         self.where = {n: address(s) for n, s in self.servers.items()}
-        table = {"name": "n1", "listen": "127.0.0.1:0", "seed": "5", "limits": {"sockets": 1024},
-                 "discovery": address(self.discovery),
-                 "known": self.listing(version, [f"{n}=up" for n in self.servers]),
-                 "peer_listen": self.peer_at, "peers": [self.peer_at, address(self.peer)],
-                 "settings": {**SETTINGS, **(settings or {})}, **config}
+        table = {
+            "name": "n1",
+            "listen": "127.0.0.1:0",
+            "seed": "5",
+            "limits": {"sockets": 1024},
+            "discovery": address(self.discovery),
+            "known": self.listing(version, [f"{n}=up" for n in self.servers]),
+            "peer_listen": self.peer_at,
+            "peers": [self.peer_at, address(self.peer)],
+            "settings": {**SETTINGS, **(settings or {})},
+            **config,
+        }
         self.table, self.told = table, {**self.told, "RELAY_DISCOVERY": table["discovery"]}
         if operator:
             with tempfile.NamedTemporaryFile("w", suffix=".toml", delete=False) as file:
@@ -142,9 +166,12 @@
         env = {k: v for k, v in os.environ.items() if not k.startswith("RELAY_")}
         self.log_held = b""
         self.successors: list[int] = []
-        self.program = subprocess.Popen([sys.executable, *self.COMMAND], stderr=subprocess.PIPE,
-                                        stdout=subprocess.DEVNULL,
-                                        env={**env, **told, "RELAY_CONFIG": file.name})
+        self.program = subprocess.Popen(
+            [sys.executable, *self.COMMAND],
+            stderr=subprocess.PIPE,
+            stdout=subprocess.DEVNULL,
+            env={**env, **told, "RELAY_CONFIG": file.name},
+        )
         self.addCleanup(self.end)
 
     def operate(self, text: str) -> None:
@@ -218,9 +245,23 @@
                 self.assertIn(text, heard)
 
     def listing(self, version: int, items: list[str], full: bool = True) -> dict[str, Any]:
-        return {"version": version, "full": full, "servers": [
-            {"id": n, "addr": self.where[n], "zone": "east", "kind": "box", "cell": 0, "state": state,
-             "weight": 1.0, "started_ms": 0} for n, _, state in (item.partition("=") for item in items)]}
+        return {
+            "version": version,
+            "full": full,
+            "servers": [
+                {
+                    "id": n,
+                    "addr": self.where[n],
+                    "zone": "east",
+                    "kind": "box",
+                    "cell": 0,
+                    "state": state,
+                    "weight": 1.0,
+                    "started_ms": 0,
+                }
+                for n, _, state in (item.partition("=") for item in items)
+            ],
+        }
 
     def play(self, text: str) -> None:
         for row in text.strip().splitlines():
@@ -238,8 +279,11 @@
         if party in ("s", "was"):
             return self.heard[-1 if party == "s" else -2]
         if party not in self.lines:
-            sock = (self.discovery.accept()[0] if party == "d"
-                    else socket.create_connection(("127.0.0.1", self.port), PATIENCE))
+            sock = (
+                self.discovery.accept()[0]
+                if party == "d"
+                else socket.create_connection(("127.0.0.1", self.port), PATIENCE)
+            )
             self.lines[party] = Line(sock)
         return self.lines[party]
 
@@ -247,8 +291,9 @@
         """The real server's connection on which something comes next."""
         while True:
             sources = {s: n for n, s in self.servers.items() if s.fileno() >= 0}
-            ready, _, _ = select.select([*sources, *(h.sock for h in self.heard if h.sock.fileno() >= 0)], [],
-                                        [], PATIENCE)
+            ready, _, _ = select.select(
+                [*sources, *(h.sock for h in self.heard if h.sock.fileno() >= 0)], [], [], PATIENCE
+            )
             self.assertTrue(ready, "no real server heard anything")
             for sock in ready:
                 if sock in sources:
--- a/tests/stepped.py
+++ b/tests/stepped.py
@@ -29,13 +29,21 @@
 WHAT: dict[str, Callable[[], object]] = {
     "kill": lambda: os.kill(os.getpid(), signal.SIGKILL),
     "stop": lambda: os.kill(os.getpid(), signal.SIGSTOP),
-    "babble": babble, "sleep": lambda: time.sleep(60), "exit": lambda: os._exit(3)}
+    "babble": babble,
+    "sleep": lambda: time.sleep(60),
+    "exit": lambda: os._exit(3),
+}
 
 
 def steps(side: str, orders: str, file: str) -> Callable[[str], None]:
     seen: Counter[str] = Counter()
-    wanted = {(point, int(number)): what for order in orders.split("/") if order
-              for of, point, number, what in [order.split(" ")] if of == side}
+    wanted = {
+        (point, int(number)): what
+        for order in orders.split("/")
+        if order
+        for of, point, number, what in [order.split(" ")]
+        if of == side
+    }
 
     def step(point: str) -> None:
         point = point.replace(" ", "-")
--- a/tests/test_attacked.py
+++ b/tests/test_attacked.py
@@ -192,15 +192,22 @@
         with tempfile.NamedTemporaryFile("w", suffix=".toml") as told, listener() as discovery:
             told.write('[log]\nform = "json"\nlevel = "debug"\n')
             told.flush()
-            table = {"listen": f"127.0.0.1:{port}", "seed": "5", "discovery": address(discovery),
-                     "settings": SETTINGS, "known": {
-                         "version": 1, "full": True, "servers": [{"id": "s-1", "addr": "127.0.0.1:1"}]}}
+            table = {
+                "listen": f"127.0.0.1:{port}",
+                "seed": "5",
+                "discovery": address(discovery),
+                "settings": SETTINGS,
+                "known": {"version": 1, "full": True, "servers": [{"id": "s-1", "addr": "127.0.0.1:1"}]},
+            }
             with tempfile.NamedTemporaryFile("w", suffix=".json") as file:
                 json.dump(table, file)
                 file.flush()
                 env = {k: v for k, v in os.environ.items() if not k.startswith("RELAY_")}
-                program = subprocess.Popen([sys.executable, "-m", "violetsaddle"], stderr=writer, env={
-                    **env, "RELAY_CONFIG": file.name, "RELAY_OPERATOR": told.name})
+                program = subprocess.Popen(
+                    [sys.executable, "-m", "violetsaddle"],
+                    stderr=writer,
+                    env={**env, "RELAY_CONFIG": file.name, "RELAY_OPERATOR": told.name},
+                )
                 self.addCleanup(program.wait)
                 self.addCleanup(program.kill)
                 os.close(writer)
@@ -211,8 +218,10 @@
                         break
                     except ConnectionRefusedError:
                         self.assertLess(time.monotonic(), until)
-                head = ("POST /api HTTP/1.1\r\nHost: n\r\nX-Txn: j0\r\nX-Lane: settle\r\nX-Org: acme\r\n"
-                        "X-Remaining: 300m\r\nContent-Length: 0\r\n\r\n")
+                head = (
+                    "POST /api HTTP/1.1\r\nHost: n\r\nX-Txn: j0\r\nX-Lane: settle\r\nX-Org: acme\r\n"
+                    "X-Remaining: 300m\r\nContent-Length: 0\r\n\r\n"
+                )
                 with client:
                     client.settimeout(10)
                     for n in range(40):  # the pipe holds some twenty of their lines
@@ -227,6 +236,11 @@
         with tempfile.NamedTemporaryFile("w", suffix=".json") as file:
             json.dump({"listen": "127.0.0.1:\u00b2", "discovery": "127.0.0.1:1", "settings": SETTINGS}, file)
             file.flush()
-            ran = subprocess.run([sys.executable, "-m", "violetsaddle"], capture_output=True, text=True,
-                                 timeout=60, env={**os.environ, "RELAY_CONFIG": file.name})
+            ran = subprocess.run(
+                [sys.executable, "-m", "violetsaddle"],
+                capture_output=True,
+                text=True,
+                timeout=60,
+                env={**os.environ, "RELAY_CONFIG": file.name},
+            )
         self.assertEqual((ran.returncode, ran.stderr.count("\n")), (2, 1), ran.stderr)
--- a/tests/test_benchlink.py
+++ b/tests/test_benchlink.py
@@ -12,11 +12,18 @@
 from violetsaddle.benchlink import Host, WireError, settings
 from violetsaddle.interface import SettingsError
 
-ENV = {"requestClasses": [{"target": 100000, "deadline": 900000, "idempotency": "retryable", "new": 1}],
-       "failureDomains": ["p", "q"], "familyInfo": {"reportX0": "free slots"}, "period": 1000,
-       "report": {"names": ["x0", "utilization"], "via": "piggyback"}, "unknown": {"a": 1}}
-START = f"CLOCK 5000\nNEW_INSTANCE scheduler/0 77 {json.dumps(ENV)}\n" \
-        "TARGETS scheduler/0 disk 1 2\nENTRY 0 1 0 51 0 - active\nENTRY 0 1.5 1 52 0 - leaving\nFLUSH\n"
+ENV = {
+    "requestClasses": [{"target": 100000, "deadline": 900000, "idempotency": "retryable", "new": 1}],
+    "failureDomains": ["p", "q"],
+    "familyInfo": {"reportX0": "free slots"},
+    "period": 1000,
+    "report": {"names": ["x0", "utilization"], "via": "piggyback"},
+    "unknown": {"a": 1},
+}
+START = (
+    f"CLOCK 5000\nNEW_INSTANCE scheduler/0 77 {json.dumps(ENV)}\n"
+    "TARGETS scheduler/0 disk 1 2\nENTRY 0 1 0 51 0 - active\nENTRY 0 1.5 1 52 0 - leaving\nFLUSH\n"
+)
 
 
 def talk(text: str) -> list[str]:
@@ -26,8 +33,10 @@
 
 
 def test_a_request_is_placed_and_answered() -> None:
-    said = talk(START + "CLOCK 7000\nINCOMING scheduler/0 c:a 0 - - 1 - 0 0 - 900000 0\nFLUSH\n"
-                "CLOCK 9000\nANSWER scheduler/0 c:a 0 51 done 2000 1 - x0:3,utilization:0.5\nFLUSH\n")
+    said = talk(
+        START + "CLOCK 7000\nINCOMING scheduler/0 c:a 0 - - 1 - 0 0 - 900000 0\nFLUSH\n"
+        "CLOCK 9000\nANSWER scheduler/0 c:a 0 51 done 2000 1 - x0:3,utilization:0.5\nFLUSH\n"
+    )
     assert "PLACE scheduler/0 c:a 0 51" in said
     assert said.count("NEXT") == 3 and not any("INTERNAL_ERROR" in s for s in said)
 
@@ -38,17 +47,20 @@
     assert told.report == {"free_slots", "util"} and told.zones == 2
 
 
-@pytest.mark.parametrize("text, fault", [
-    ("CLOCK x\n", "x"),
-    ("HELLO\n", "CLOCK"),
-    ("CLOCK 1\nHELLO scheduler/0\nFLUSH\n", "HELLO"),
-    ("CLOCK 1\n", "ends within"),
-    (START + "CLOCK 2\nWAKE scheduler/9 t\nFLUSH\n", "scheduler/9"),
-    (START + "CLOCK 2\nWAKE scheduler/0\nFLUSH\n", "2 values"),
-    (START + "CLOCK 2\nINCOMING scheduler/0 c:a 0 - - one - 0 0 - 9000 0\nFLUSH\n", "one"),
-    (START + "CLOCK 2\nTARGETS scheduler/0 diff 2 1\nENTRY 1 2\nFLUSH\n", "ENTRY"),
-    (START + "CLOCK 2\nTARGETS scheduler/0 odd 2 0\nFLUSH\n", "TARGETS"),
-])
+@pytest.mark.parametrize(
+    "text, fault",
+    [
+        ("CLOCK x\n", "x"),
+        ("HELLO\n", "CLOCK"),
+        ("CLOCK 1\nHELLO scheduler/0\nFLUSH\n", "HELLO"),
+        ("CLOCK 1\n", "ends within"),
+        (START + "CLOCK 2\nWAKE scheduler/9 t\nFLUSH\n", "scheduler/9"),
+        (START + "CLOCK 2\nWAKE scheduler/0\nFLUSH\n", "2 values"),
+        (START + "CLOCK 2\nINCOMING scheduler/0 c:a 0 - - one - 0 0 - 9000 0\nFLUSH\n", "one"),
+        (START + "CLOCK 2\nTARGETS scheduler/0 diff 2 1\nENTRY 1 2\nFLUSH\n", "ENTRY"),
+        (START + "CLOCK 2\nTARGETS scheduler/0 odd 2 0\nFLUSH\n", "TARGETS"),
+    ],
+)
 def test_bad_input_is_named(text: str, fault: str) -> None:
     with pytest.raises((WireError, ValueError), match=fault):
         talk(text)
@@ -59,13 +71,16 @@
     assert any(s.startswith("INTERNAL_ERROR scheduler/0 EventError") for s in said)
 
 
-@pytest.mark.parametrize("change, fault", [
-    ({"siblings": 0}, "schedulers"),
-    ({"siblings": "many"}, "siblings"),
-    ({"requestClasses": []}, "classes"),
-    ({"requestClasses": [{"deadline": 5, "idempotency": "retryable"}]}, "target"),
-    ({"permissions": 3}, "permissions"),
-])
+@pytest.mark.parametrize(
+    "change, fault",
+    [
+        ({"siblings": 0}, "schedulers"),
+        ({"siblings": "many"}, "siblings"),
+        ({"requestClasses": []}, "classes"),
+        ({"requestClasses": [{"deadline": 5, "idempotency": "retryable"}]}, "target"),
+        ({"permissions": 3}, "permissions"),
+    ],
+)
 def test_invalid_settings_name_the_key(change: dict[str, object], fault: str) -> None:
     with pytest.raises(SettingsError, match=fault):
         settings(json.dumps({**ENV, **change}))
@@ -73,16 +88,30 @@
 
 @pytest.mark.parametrize("text, code", [("", 0), (START, 0), (START + "CLOCK 7\nNOTHING\n", 2)])
 def test_exit_codes(text: str, code: int) -> None:
-    run = subprocess.run([sys.executable, "-m", "violetsaddle.benchlink"], input=text, text=True,
-                         capture_output=True, timeout=60)
+    run = subprocess.run(
+        [sys.executable, "-m", "violetsaddle.benchlink"],
+        input=text,
+        text=True,
+        capture_output=True,
+        timeout=60,
+    )
     assert run.returncode == code
     assert bool(run.stderr) == bool(code)
 
 
 def test_same_actions_whatever_the_hash_seed() -> None:
-    text = START + "".join(f"CLOCK {9000 + n}\nINCOMING scheduler/0 c:{n} 0 - {n} 1 - 0 0 - 900000 0\nFLUSH\n"
-                           for n in range(50))
-    outs = {subprocess.run([sys.executable, "-m", "violetsaddle.benchlink"], input=text, text=True,
-                           timeout=60, capture_output=True, env={"PYTHONHASHSEED": str(seed)}).stdout
-            for seed in range(3)}
+    text = START + "".join(
+        f"CLOCK {9000 + n}\nINCOMING scheduler/0 c:{n} 0 - {n} 1 - 0 0 - 900000 0\nFLUSH\n" for n in range(50)
+    )
+    outs = {
+        subprocess.run(
+            [sys.executable, "-m", "violetsaddle.benchlink"],
+            input=text,
+            text=True,
+            timeout=60,
+            capture_output=True,
+            env={"PYTHONHASHSEED": str(seed)},
+        ).stdout
+        for seed in range(3)
+    }
     assert len(outs) == 1
--- a/tests/test_cold.py
+++ b/tests/test_cold.py
@@ -23,9 +23,19 @@
 class Tier:
     """Balancers and servers on one clock; every server starts what it gets at once."""
 
-    def __init__(self, nodes: int, servers: int, within: int, lost: float = 0.0, heavy: bool = False,
-                 seed: int = 1, told: int | None = None, busy: float = 0.6, peers: bool = True,
-                 reports: bool = True) -> None:
+    def __init__(
+        self,
+        nodes: int,
+        servers: int,
+        within: int,
+        lost: float = 0.0,
+        heavy: bool = False,
+        seed: int = 1,
+        told: int | None = None,
+        busy: float = 0.6,
+        peers: bool = True,
+        reports: bool = True,
+    ) -> None:
         self.random, self.lost, self.heavy = Random(seed), lost, heavy
         self.now, self.number = 0, 0
         self.events: list[tuple[int, int, Callable[[], None]]] = []
@@ -34,11 +44,27 @@
         self.begun: dict[int, int] = {}  # when cold ones started
         self.sent: dict[int, list[tuple[int, float]]] = {n: [] for n in range(servers)}
         self.work: dict[str, int] = {}
-        self.balancers = [Balancer(Settings(
-            classes=(QUOTE,), me=n, schedulers=told or nodes, may_tell=peers, may_cancel=True,
-            tells_start=True, report=frozenset({"free_slots"} if reports else ()), cold_from=COLD_FROM,
-            cold_for=COLD_FOR, fall_multiple=MULTIPLE, fall_after=within), seed * 1000 + n, 0, Node(self, n))
-            for n in range(nodes)]
+        self.balancers = [
+            Balancer(
+                Settings(
+                    classes=(QUOTE,),
+                    me=n,
+                    schedulers=told or nodes,
+                    may_tell=peers,
+                    may_cancel=True,
+                    tells_start=True,
+                    report=frozenset({"free_slots"} if reports else ()),
+                    cold_from=COLD_FROM,
+                    cold_for=COLD_FOR,
+                    fall_multiple=MULTIPLE,
+                    fall_after=within,
+                ),
+                seed * 1000 + n,
+                0,
+                Node(self, n),
+            )
+            for n in range(nodes)
+        ]
 
     def at(self, time: int, what: Callable[[], None]) -> None:
         self.number += 1
@@ -107,8 +133,12 @@
         tier.sent[worker].append((tier.now, tier.work[job]))
         tier.at(tier.now + MS, lambda: self.balancer.note(tier.now, job, attempt, 1, 0.0))
         takes = 2 * MS + int(tier.work[job] / tier.share(worker))
-        tier.at(tier.now + takes, lambda: self.balancer.answer(
-            tier.now, job, attempt, "ok", takes, True, {"free_slots": SLOTS} if tier.reports else None))
+        tier.at(
+            tier.now + takes,
+            lambda: self.balancer.answer(
+                tier.now, job, attempt, "ok", takes, True, {"free_slots": SLOTS} if tier.reports else None
+            ),
+        )
 
     def tell(self, data: bytes, to: int | None = None) -> None:
         tier = self.tier
@@ -133,8 +163,9 @@
     def watch(self) -> None: ...
 
 
-def played(nodes: int, cold: int, warm_up: int = 6 * SECOND, cut: bool = False, quiet: bool = False,
-           **more: Any) -> float:
+def played(
+    nodes: int, cold: int, warm_up: int = 6 * SECOND, cut: bool = False, quiet: bool = False, **more: Any
+) -> float:
     """Some servers start while the tier serves, or (`warm_up` 0) with all nodes; the worst of them.  `cut`:
     the nodes have heard each other and do so no longer; `quiet`: as they start next to nothing comes, and
     later a burst."""
--- a/tests/test_cut.py
+++ b/tests/test_cut.py
@@ -88,11 +88,14 @@
 
     def test_endless_ones(self) -> None:
         self.start(ONE_TRY)
-        for n, head in enumerate((
+        for n, head in enumerate(
+            (
                 "503 No | X-Turned-Away: 1 | | LONG(2000000)",
                 "503 No | X-Turned-Away: 1 | Content-Length: 999999999 | | x",
                 "503 No | X-Turned-Away: 1 | Transfer-Encoding: chunked | | 1e8480\\r\\nLONG(1999999)",
-                "202 Accepted | X: LONG(2000000)")):
+                "202 Accepted | X: LONG(2000000)",
+            )
+        ):
             self.play(f"""
                 c send job a{n} settle
                 s expect POST /api | X-Txn: a{n}
--- a/tests/test_drill.py
+++ b/tests/test_drill.py
@@ -26,8 +26,14 @@
 
     def __init__(self, seed: int, variant: dict[str, Any]) -> None:
         self.dice = random.Random(seed)
-        self.told = Settings(classes=CLASSES, most_attempts=4, cold_from=0.3, cold_for=5 * SECOND,
-                             zones=2, **{"second_copies": True, "may_cancel": True, **variant})
+        self.told = Settings(
+            classes=CLASSES,
+            most_attempts=4,
+            cold_from=0.3,
+            cold_for=5 * SECOND,
+            zones=2,
+            **{"second_copies": True, "may_cancel": True, **variant},
+        )
         self.recorder = Recorder()
         self.now = SECOND
         self.balancer = Balancer(self.told, seed, self.now, self.recorder)
@@ -94,8 +100,13 @@
     def change(self) -> None:
         worker = self.dice.randrange(16)
         state = self.dice.choice(["active", "active", "draining", "gone"])
-        entry = Entry(worker, zone=worker % 2, cell=self.dice.choice([worker % 3] * 5 + [3]),
-                      started=self.now if self.dice.random() < 0.3 else 0, state=state)
+        entry = Entry(
+            worker,
+            zone=worker % 2,
+            cell=self.dice.choice([worker % 3] * 5 + [3]),
+            started=self.now if self.dice.random() < 0.3 else 0,
+            state=state,
+        )
         if state == "gone":
             self.entries.pop(worker, None)
         else:
@@ -120,10 +131,15 @@
             self.taken += 1
             remaining = self.dice.randrange(50 * MS, 4 * SECOND)
             name = f"r{self.taken}"
-            self.jobs[name] = {"spec": CLASSES[cls], "deadline": now + remaining, "attempts": [],
-                               "over": False}
-            balancer.request(now, name, cls, remaining, 0, float(self.dice.choice([1, 1, 2])),
-                             self.dice.randrange(20))
+            self.jobs[name] = {
+                "spec": CLASSES[cls],
+                "deadline": now + remaining,
+                "attempts": [],
+                "over": False,
+            }
+            balancer.request(
+                now, name, cls, remaining, 0, float(self.dice.choice([1, 1, 2])), self.dice.randrange(20)
+            )
             if self.taken < 1500:
                 self.at(now + int(self.dice.expovariate(1 / (15 * MS))), "request")
         elif what[0] == "gone":
--- a/tests/test_forwarder.py
+++ b/tests/test_forwarder.py
@@ -23,8 +23,9 @@
         for sock in (*self.boxes, discovery):
             sock.settimeout(20)
             self.addCleanup(sock.close)
-        listed = json.dumps({"servers": [
-            {"addr": f"{HOST}:{box.getsockname()[1]}"} for box in self.boxes]}).encode()
+        listed = json.dumps(
+            {"servers": [{"addr": f"{HOST}:{box.getsockname()[1]}"} for box in self.boxes]}
+        ).encode()
 
         def answer() -> None:
             asked = End(discovery.accept()[0])
@@ -36,7 +37,9 @@
         told.start()
         self.program = subprocess.Popen(
             [sys.executable, "-m", "benchmarks.forwarder", "0", str(discovery.getsockname()[1])],
-            stderr=subprocess.PIPE, env=dict(os.environ))
+            stderr=subprocess.PIPE,
+            env=dict(os.environ),
+        )
         self.addCleanup(self.end)
         assert self.program.stderr is not None
         self.port = int(self.program.stderr.readline().rpartition(b":")[2])
@@ -66,15 +69,21 @@
 
     def send(self, end: End, data: bytes, single: bool) -> None:
         for at in range(0, len(data), 1 if single else len(data)):
-            end.sock.sendall(data[at:at + (1 if single else len(data))])
+            end.sock.sendall(data[at : at + (1 if single else len(data))])
 
     def test_whole_in_single_bytes_and_large(self) -> None:
         client, calls = self.dial(), self.dial()
         lines: list[End] = []
         # Servers in turn, and each one's connection is used again.
-        for number, (single, body, result) in enumerate((
-                (False, b"hello", "one"), (True, b"bytes", "two"), (True, b"\r\n\r\nPOST", "thr\r\n\r\nee"),
-                (False, os.urandom(65_536), "x" * 64_000), (False, b"", ""))):
+        for number, (single, body, result) in enumerate(
+            (
+                (False, b"hello", "one"),
+                (True, b"bytes", "two"),
+                (True, b"\r\n\r\nPOST", "thr\r\n\r\nee"),
+                (False, os.urandom(65_536), "x" * 64_000),
+                (False, b"", ""),
+            )
+        ):
             data, job = request(f"a{number}", body, number), f"a{number}"
             self.send(client, data.replace(b"\r\nX-Txn", b"\r\nConnection: keep-alive\r\nX-Txn"), single)
             if number < 2:
@@ -86,8 +95,10 @@
             self.assertIn(f"Host: {HOST}:{self.boxes[number % 2].getsockname()[1]}".encode(), head)
             self.assertNotIn(b"Connection", head)
             self.assertEqual(head.count(b"Host: "), 1)
-            told, heard_of = ([row for row in text.partition(b"\r\n\r\n")[0].split(b"\r\n")
-                               if not row.startswith(b"Host")] for text in (data, heard))
+            told, heard_of = (
+                [row for row in text.partition(b"\r\n\r\n")[0].split(b"\r\n") if not row.startswith(b"Host")]
+                for text in (data, heard)
+            )
             self.assertEqual(told, heard_of)
             self.send(line, b"HTTP/1.1 202 Accepted\r\nContent-Length: 0\r\n\r\n", single)
             self.call(calls, job, "started", single=single)
--- a/tests/test_gone.py
+++ b/tests/test_gone.py
@@ -15,7 +15,8 @@
 
 RESET = struct.pack("ii", 1, 0)
 NO_CANCELS: dict[str, Any] = {
-    "permissions": {**SETTINGS["permissions"], "cancel": False, "dialTimeout": 5_000_000}}
+    "permissions": {**SETTINGS["permissions"], "cancel": False, "dialTimeout": 5_000_000}
+}
 
 
 def leave(line: Line, reset: bool) -> None:
--- a/tests/test_guard.py
+++ b/tests/test_guard.py
@@ -42,8 +42,13 @@
 
 def guard(*options: str, planted: str = "") -> subprocess.Popen[str]:
     text = planted + "\nfrom benchmarks import guard\nguard.main()"
-    return subprocess.Popen([sys.executable, "-c", text, *options], cwd=BOUNDS.parent.parent,
-                            stdout=subprocess.PIPE, stderr=subprocess.PIPE, text=True)
+    return subprocess.Popen(
+        [sys.executable, "-c", text, *options],
+        cwd=BOUNDS.parent.parent,
+        stdout=subprocess.PIPE,
+        stderr=subprocess.PIPE,
+        text=True,
+    )
 
 
 class Guard(unittest.TestCase):
--- a/tests/test_held_out.py
+++ b/tests/test_held_out.py
@@ -140,16 +140,37 @@
 
 
 def configuration(folder: str, number: int, many: int) -> dict[str, Any]:
-    servers = [{"id": f"s-{n}", "addr": f"127.0.0.1:{n + 1}", "zone": "east", "kind": "box", "cell": n,
-                "state": "up", "weight": 1.0, "started_ms": 0} for n in range(many)]
+    servers = [
+        {
+            "id": f"s-{n}",
+            "addr": f"127.0.0.1:{n + 1}",
+            "zone": "east",
+            "kind": "box",
+            "cell": n,
+            "state": "up",
+            "weight": 1.0,
+            "started_ms": 0,
+        }
+        for n in range(many)
+    ]
     with listener() as found, datagrams() as heard:
         listen, peer_listen = address(found), address(heard)
-    config = {"name": f"n{number}", "listen": listen, "discovery": "127.0.0.1:9", "seed": str(number),
-              "limits": {"sockets": 1024}, "known": {"version": 1, "full": True, "servers": servers},
-              "settings": {**SETTINGS, "siblings": many, "ordinal": number,
-                           "permissions": {**SETTINGS["permissions"], "mayTell": True}},
-              "peer_listen": peer_listen,
-              "peers": [f"127.1.{n // 250}.{n % 250 + 1}:9" for n in range(many)]}
+    config = {
+        "name": f"n{number}",
+        "listen": listen,
+        "discovery": "127.0.0.1:9",
+        "seed": str(number),
+        "limits": {"sockets": 1024},
+        "known": {"version": 1, "full": True, "servers": servers},
+        "settings": {
+            **SETTINGS,
+            "siblings": many,
+            "ordinal": number,
+            "permissions": {**SETTINGS["permissions"], "mayTell": True},
+        },
+        "peer_listen": peer_listen,
+        "peers": [f"127.1.{n // 250}.{n % 250 + 1}:9" for n in range(many)],
+    }
     path = f"{folder}/{number}.json"
     with open(path, "w") as file:
         json.dump(config, file)
@@ -173,8 +194,14 @@
     with tempfile.TemporaryDirectory() as folder:
         told = [configuration(folder, number, many) for number in range(20)]
         begun = time.monotonic()
-        programs = [subprocess.Popen([sys.executable, "-m", "violetsaddle"], stderr=subprocess.DEVNULL,
-                                     env={**env, "RELAY_CONFIG": one["path"]}) for one in told]
+        programs = [
+            subprocess.Popen(
+                [sys.executable, "-m", "violetsaddle"],
+                stderr=subprocess.DEVNULL,
+                env={**env, "RELAY_CONFIG": one["path"]},
+            )
+            for one in told
+        ]
         ready: dict[int, float] = {}
 
         def wait(number: int) -> None:
--- a/tests/test_known_red.py
+++ b/tests/test_known_red.py
@@ -19,23 +19,30 @@
     (folder / "pytest.ini").write_text("[pytest]\ntestpaths = tests\n")
     if red is not None:
         (folder / "KNOWN-RED.txt").write_text(red)
-    done = subprocess.run([sys.executable, "-m", "pytest", "-q", "-p", "no:cacheprovider"], cwd=folder,
-                          capture_output=True, text=True)
+    done = subprocess.run(
+        [sys.executable, "-m", "pytest", "-q", "-p", "no:cacheprovider"],
+        cwd=folder,
+        capture_output=True,
+        text=True,
+    )
     return done.returncode, done.stdout + done.stderr
 
 
 BAD = "tests/test_it.py::test_bad | a fault | issue 31\n"
 
 
-@pytest.mark.parametrize(("red", "status", "said"), [
-    (None, 1, "1 failed"),
-    ("", 1, "1 failed"),
-    (BAD, 0, "known red: tests/test_it.py::test_bad: a fault (issue 31)"),
-    (BAD + BAD.replace("bad", "good"), 1, "[XPASS(strict)]"),
-    (BAD + BAD.replace("bad", "none"), 4, "names no test: tests/test_it.py::test_none"),
-    (BAD * 4, 4, "3 at most"),
-    ("tests/test_it.py::test_bad | a fault\n", 4, "not 'test | cause | issue'"),
-])
+@pytest.mark.parametrize(
+    ("red", "status", "said"),
+    [
+        (None, 1, "1 failed"),
+        ("", 1, "1 failed"),
+        (BAD, 0, "known red: tests/test_it.py::test_bad: a fault (issue 31)"),
+        (BAD + BAD.replace("bad", "good"), 1, "[XPASS(strict)]"),
+        (BAD + BAD.replace("bad", "none"), 4, "names no test: tests/test_it.py::test_none"),
+        (BAD * 4, 4, "3 at most"),
+        ("tests/test_it.py::test_bad | a fault\n", 4, "not 'test | cause | issue'"),
+    ],
+)
 def test_the_list(tmp_path: Path, red: str | None, status: int, said: str) -> None:
     assert ran(tmp_path, red)[0] == status
     (again := tmp_path / "again").mkdir()
--- a/tests/test_lab_days.py
+++ b/tests/test_lab_days.py
@@ -147,8 +147,10 @@
     cut: set[int] = set()
     for place in range(len(body) + 3):  # from within the head's last line ends on
         txn = ids.txn(day.seed, item.number, 100 + place)
-        data = (f"POST /api{sid} HTTP/1.1\r\nHost: n\r\nX-Txn: {txn}\r\nX-Lane: {lane}\r\nX-Org: {tenant}\r\n"
-                "X-Remaining: 9000m\r\nTransfer-Encoding: chunked\r\n\r\n").encode() + body
+        data = (
+            f"POST /api{sid} HTTP/1.1\r\nHost: n\r\nX-Txn: {txn}\r\nX-Lane: {lane}\r\nX-Org: {tenant}\r\n"
+            "X-Remaining: 9000m\r\nTransfer-Encoding: chunked\r\n\r\n"
+        ).encode() + body
         places[data] = len(data) - len(body) - 3 + place
 
         def answered(more: bytes, txn: str = txn) -> None:
@@ -206,8 +208,11 @@
 @pytest.mark.parametrize("kind", ["restart", "kill"])
 def test_both_nodes_of_a_hall_go_within_the_same_second(kind: str) -> None:
     """Nobody takes a connection for a while: no rule is broken, and both serve when they are back."""
-    day = small(*(Trouble(kind, SECOND + n * 300_000, 2 * SECOND, nodes=(n,)) for n in (0, 1)), seconds=12,
-                nodes=(0, 0))
+    day = small(
+        *(Trouble(kind, SECOND + n * 300_000, 2 * SECOND, nodes=(n,)) for n in (0, 1)),
+        seconds=12,
+        nodes=(0, 0),
+    )
     outcome = play(day)
     lives = [r for r in outcome.records if isinstance(r, rec.NodeLife) and r.life]
     back = {r.node: r.at for r in lives if r.what == "ready"}
--- a/tests/test_lab_tool.py
+++ b/tests/test_lab_tool.py
@@ -36,8 +36,9 @@
     """Serves every job at once on box 0, with the decider `random` late.  A job that comes while a crash is
     on is answered twice.  Settings: `raise` or `die` at that seed, `void`, `wait` in milliseconds."""
 
-    def play(self, day: Day, options: Options = PLAIN,
-             watch: Callable[[rec.Record], None] | None = None) -> Outcome:
+    def play(
+        self, day: Day, options: Options = PLAIN, watch: Callable[[rec.Record], None] | None = None
+    ) -> Outcome:
         if options.settings.get("raise") == day.seed:
             raise RuntimeError("no such luck")
         if options.settings.get("die") == day.seed:
@@ -48,17 +49,30 @@
             at, txn, run = item.at, ids.txn(day.seed, item.number, 0), item.number + 1
             node, body = item.number % len(day.nodes), f"r{item.number}"
             left = day.classes[item.cls].deadline
-            ledger += [rec.Sent(at, txn, item.number, 0, node, left),
-                       rec.Came(at, run, txn, 0, 1, node, at, left, True), rec.Began(at, run),
-                       rec.Effect(at, run, False, item.work), rec.Ended(at, run, "done", body),
-                       rec.BoxLoad(at, 0, 1, 0, 1.0), rec.Answer(at + wait, txn, 200, -1.0, body)]
+            ledger += [
+                rec.Sent(at, txn, item.number, 0, node, left),
+                rec.Came(at, run, txn, 0, 1, node, at, left, True),
+                rec.Began(at, run),
+                rec.Effect(at, run, False, item.work),
+                rec.Ended(at, run, "done", body),
+                rec.BoxLoad(at, 0, 1, 0, 1.0),
+                rec.Answer(at + wait, txn, 200, -1.0, body),
+            ]
             if any(t.kind == "crash" and t.at <= at < t.until for t in day.troubles):
                 ledger.append(rec.Answer(at + wait + 1, txn, 200, -1.0, body))
         ledger.sort(key=lambda record: record.at)
         for record in ledger if watch else ():
             watch(record)  # type: ignore[misc]
-        return Outcome(day, ledger, [{"flows": 1}] * len(day.nodes), [], 0.5, 10, 20.0,
-                       str(options.settings.get("void", "")))
+        return Outcome(
+            day,
+            ledger,
+            [{"flows": 1}] * len(day.nodes),
+            [],
+            0.5,
+            10,
+            20.0,
+            str(options.settings.get("void", "")),
+        )
 
 
 def lab(*words: str) -> Result:
@@ -79,17 +93,30 @@
         self.assertEqual(case.settings, {"a": {"b": [1], "c": "x"}})
         self.assertEqual(experiment.drawn(case).load.tries, 1)
         light = replace(CASE, rate=0.0)
-        self.assertAlmostEqual(experiment.drawn(experiment.change(light, "load", "0.2")).load.rate * 2,
-                               experiment.drawn(experiment.change(light, "load", "0.4")).load.rate)
-        for wrong in ("nodes=0", "nodes=x", "seconds=-1", "what=1", "day.load.nix=1", "day.length=x", "nodes",
-                      "scenario.kind.9.name=x", "day.troubles=[{}]", "settings=1"):
+        self.assertAlmostEqual(
+            experiment.drawn(experiment.change(light, "load", "0.2")).load.rate * 2,
+            experiment.drawn(experiment.change(light, "load", "0.4")).load.rate,
+        )
+        for wrong in (
+            "nodes=0",
+            "nodes=x",
+            "seconds=-1",
+            "what=1",
+            "day.load.nix=1",
+            "day.length=x",
+            "nodes",
+            "scenario.kind.9.name=x",
+            "day.troubles=[{}]",
+            "settings=1",
+        ):
             with self.subTest(wrong), self.assertRaises(CaseError):
                 experiment.drawn(compare.changed(CASE, [wrong]))
 
     def test_axes(self) -> None:
         points = sweep.points(CASE, ["nodes:boxes=1:2,3:4", "rate=1,2"])
-        self.assertEqual([point.name for point in points][1:3],
-                         ["nodes=1 boxes=2 rate=2", "nodes=3 boxes=4 rate=1"])
+        self.assertEqual(
+            [point.name for point in points][1:3], ["nodes=1 boxes=2 rate=2", "nodes=3 boxes=4 rate=1"]
+        )
         self.assertEqual((points[3].case.nodes, points[3].case.boxes, points[3].case.rate), (3, 4, 2.0))
         for wrong in ("nodes", "nodes=", "nodes:boxes=1", "=1"):
             with self.subTest(wrong), self.assertRaises(CaseError):
@@ -105,10 +132,12 @@
 class Bytes(unittest.TestCase):
     def test_rounding(self) -> None:
         table = {"a": 0.1 + 0.2, "b": float("nan"), "c": -0.0, "d": np.float64(1) / 3, "e": np.arange(2)}
-        self.assertEqual(json.dumps(result.plain(table)),
-                         '{"a": 0.3, "b": null, "c": 0.0, "d": 0.333333, "e": [0, 1]}')
-        self.assertEqual(result.numbers({"a": [1, {"b": 2.5}], "c": True, "d": "x"}),
-                         {"a.0": 1.0, "a.1.b": 2.5})
+        self.assertEqual(
+            json.dumps(result.plain(table)), '{"a": 0.3, "b": null, "c": 0.0, "d": 0.333333, "e": [0, 1]}'
+        )
+        self.assertEqual(
+            result.numbers({"a": [1, {"b": 2.5}], "c": True, "d": "x"}), {"a.0": 1.0, "a.1.b": 2.5}
+        )
 
     def test_same_bytes_at_any_number_of_processes(self) -> None:
         case = replace(CASE, settings={"raise": 2, "die": 99})
@@ -150,11 +179,14 @@
             tree.mkdir()
             for name in ("policy.py", "interface.py"):
                 (tree / name).write_text((root / "violetsaddle" / name).read_text())
-            code = (f"from violetsaddle.lab.experiment import adopt; adopt({folder!r}); import violetsaddle, "
-                    "violetsaddle.world.day as day; print(violetsaddle.Balancer.__module__, "
-                    "violetsaddle.policy.__file__); print(day.__file__)")
-            done = subprocess.run([sys.executable, "-c", code], cwd=root, capture_output=True, text=True,
-                                  check=True)
+            code = (
+                f"from violetsaddle.lab.experiment import adopt; adopt({folder!r}); import violetsaddle, "
+                "violetsaddle.world.day as day; print(violetsaddle.Balancer.__module__, "
+                "violetsaddle.policy.__file__); print(day.__file__)"
+            )
+            done = subprocess.run(
+                [sys.executable, "-c", code], cwd=root, capture_output=True, text=True, check=True
+            )
             theirs, ours = done.stdout.split("\n")[:2]
             self.assertEqual(theirs, f"violetsaddle.policy {tree.resolve() / 'policy.py'}")
             self.assertEqual(Path(ours).parents[2], root)
@@ -184,9 +216,21 @@
         def play(seeds: Iterator[Case]) -> Iterator[result.Played]:
             for case in seeds:
                 broken = (result.Broken("x", 0, "", ""),) if case.seed in (5, 7) else ()
-                yield result.Played(result.Result(
-                    "s", case.seed, "sim", "module", 1, 1, 1, 1.0, violations=broken,
-                    against={"lost": case.seed % 6 / 10}))
+                yield result.Played(
+                    result.Result(
+                        "s",
+                        case.seed,
+                        "sim",
+                        "module",
+                        1,
+                        1,
+                        1,
+                        1.0,
+                        violations=broken,
+                        against={"lost": case.seed % 6 / 10},
+                    )
+                )
+
         seen: list[result.Played] = []
         found = hunt.first_broken(play(hunt.cases(CASE, 3, 100)), seen.append)
         self.assertEqual((found and found.result.seed, len(seen)), (5, 3))
@@ -218,10 +262,18 @@
 
     def test_status(self) -> None:
         day = str(self.day)
-        for status, text in ((1, f"run --day {day}"), (3, "run calm --set settings.void=x"),
-                             (3, "run calm --set settings.raise=1"), (2, "run calm --set x=1"), (2, "run"),
-                             (2, "run no-such"), (2, "run calm --decider x"), (2, "run calm --on nowhere"),
-                             (2, f"judge {day}"), (2, f"run --day {__file__}")):
+        for status, text in (
+            (1, f"run --day {day}"),
+            (3, "run calm --set settings.void=x"),
+            (3, "run calm --set settings.raise=1"),
+            (2, "run calm --set x=1"),
+            (2, "run"),
+            (2, "run no-such"),
+            (2, "run calm --decider x"),
+            (2, "run calm --on nowhere"),
+            (2, f"judge {day}"),
+            (2, f"run --day {__file__}"),
+        ):
             with self.subTest(text):
                 words = text.split()
                 done = lab(*words) if words[0] == "judge" or "--on" in words else played(*words)
@@ -234,13 +286,24 @@
         self.assertIn("violetsaddle lab run --day", done.output)
 
     def test_compare_and_sweep(self) -> None:
-        done = played("compare", "this", "settings.wait=4000", "--scenario", "calm", "--seeds", "2",
-                      "--processes", "1")
+        done = played(
+            "compare", "this", "settings.wait=4000", "--scenario", "calm", "--seeds", "2", "--processes", "1"
+        )
         self.assertEqual(done.exit_code, 0, done.output)
         self.assertRegex(done.output, r"goodput.* -0\.\d+ .*\*")
         out = str(self.folder / "sweep")
-        done = played("sweep", "calm", "--over", "settings.wait=1,4000", "--seeds", "1", "--processes", "2",
-                      "--json", out)
+        done = played(
+            "sweep",
+            "calm",
+            "--over",
+            "settings.wait=1,4000",
+            "--seeds",
+            "1",
+            "--processes",
+            "2",
+            "--json",
+            out,
+        )
         self.assertEqual(done.exit_code, 0, done.output)
         first, second = result.decode(Path(out).read_bytes())
         self.assertGreater(first.figures["goodput"], second.figures["goodput"])
@@ -285,7 +348,7 @@
             self.assertEqual(pages[0], pages[-1])
             self.assertGreaterEqual(pages[0].count("<svg"), 3)
             self.assertEqual("violations" in pages[0], bool(one.result.violations))
-            self.assertNotIn("href=\"http", pages[0])
+            self.assertNotIn('href="http', pages[0])
 
     def test_board_and_pace(self) -> None:
         day = replace(experiment.drawn(CASE), troubles=TROUBLES)
--- a/tests/test_leaks.py
+++ b/tests/test_leaks.py
@@ -30,7 +30,8 @@
         k expect 204
     """,
     # Others between them: many turned away in a row would close the door at once.
-    "turned away": "".join(SERVED.replace("{j}", "{j}-" + n) for n in "abcdef") + """
+    "turned away": "".join(SERVED.replace("{j}", "{j}-" + n) for n in "abcdef")
+    + """
         c send job {j} settle
         s expect X-Txn: {j}
         s send 503 | X-Turned-Away: 1
@@ -117,10 +118,15 @@
         # A connection to the real server may be kept, no more.
         now = self.alive()
         self.assertLessEqual(max(now[k] for k in ("ServerConnection", "_Dial", "Client", "Connector")), 2)
-        self.play("\n".join(f"""
+        self.play(
+            "\n".join(
+                f"""
             f{n} send job f{n} quote
             s expect X-Txn: f{n}
-            s send 202""" for n in range(5)))
+            s send 202"""
+                for n in range(5)
+            )
+        )
         self.settles(dict.fromkeys(none, 5))
 
     def test_a_dial_that_fails_leaves_nothing(self) -> None:
@@ -129,8 +135,20 @@
         before = self.alive()
         for n in range(300):
             self.play(f"c send job d{n} quote\nc expect 503")
-        self.settles({kind: before[kind] for kind in ("Flow", "Scheduling", "Client", "Connector", "_Dial",
-                                                      "Deferred", "ServerConnection")})
+        self.settles(
+            {
+                kind: before[kind]
+                for kind in (
+                    "Flow",
+                    "Scheduling",
+                    "Client",
+                    "Connector",
+                    "_Dial",
+                    "Deferred",
+                    "ServerConnection",
+                )
+            }
+        )
 
     def test_real_servers_that_were_replaced_are_forgotten(self) -> None:
         self.start({"discovery": "ask"}, servers=2)
--- a/tests/test_live.py
+++ b/tests/test_live.py
@@ -44,16 +44,38 @@
 def short_day(length: int, *troubles: Trouble) -> Day:
     """Two nodes, four boxes and 25 jobs a second.  Its rules allow for a machine that is busy."""
     return Day(
-        scenario="test", seed=3, length=length, halls=("east",), nodes=(0, 0), kinds=(Kind("box", 4, 1.0),),
-        boxes=tuple(BoxSpec(f"s-{n}", 0, 0, n // 2, 4, 1.0, 4, 24, 400, 900, 700, 200, 500 * MS, 5 * SECOND)
-                    for n in range(4)),
-        classes=tuple(ClassSpec(name, effect, 1.0, 10 * MS, 0.5, 200 * MS, 1.0, 1500 * MS, 1.0,
-                                window=5 * SECOND if effect == KEYED else 0)
-                      for name, effect in (("quote", SAFE), ("charge", KEYED), ("settle", UNSAFE))),
-        tenants=(TenantSpec("acme", 1.0, 1.0),), links=LinkSpec(0, 0, 0, 0.0, 0, 0, 0.0, 0.0, 0.0),
+        scenario="test",
+        seed=3,
+        length=length,
+        halls=("east",),
+        nodes=(0, 0),
+        kinds=(Kind("box", 4, 1.0),),
+        boxes=tuple(
+            BoxSpec(f"s-{n}", 0, 0, n // 2, 4, 1.0, 4, 24, 400, 900, 700, 200, 500 * MS, 5 * SECOND)
+            for n in range(4)
+        ),
+        classes=tuple(
+            ClassSpec(
+                name,
+                effect,
+                1.0,
+                10 * MS,
+                0.5,
+                200 * MS,
+                1.0,
+                1500 * MS,
+                1.0,
+                window=5 * SECOND if effect == KEYED else 0,
+            )
+            for name, effect in (("quote", SAFE), ("charge", KEYED), ("settle", UNSAFE))
+        ),
+        tenants=(TenantSpec("acme", 1.0, 1.0),),
+        links=LinkSpec(0, 0, 0, 0.0, 0, 0, 0.0, 0.0, 0.0),
         load=LoadSpec(25.0, 0.0, SECOND, (1.0,), 2, 20 * MS, 0.5, SECOND, 0.0, 0.2, 0),
         roster=RosterSpec(SECOND, 6 * SECOND, SECOND, 500 * MS, 100.0, 40, SECOND),
-        rules=Rules(slack=10 * SECOND), troubles=troubles)
+        rules=Rules(slack=10 * SECOND),
+        troubles=troubles,
+    )
 
 
 def ended(pids: list[int]) -> bool:
@@ -106,14 +128,30 @@
 
     def test_what_a_log_tells(self) -> None:
         ledger, log = Ledger(), Log(lambda: 0)
-        ground = Ground(short_day(SECOND), Options(), LivePlaces(1, 1), Path(), ledger, log, lambda: 7,
-                        lambda _: None, lambda *_: None, ())
+        ground = Ground(
+            short_day(SECOND),
+            Options(),
+            LivePlaces(1, 1),
+            Path(),
+            ledger,
+            log,
+            lambda: 7,
+            lambda _: None,
+            lambda *_: None,
+            (),
+        )
         node = LiveNode(ground, 0)
-        for line in ("n0: listening on 127.1.0.1:1", "n0: counters flows=3 held_flows=1",
-                     "n0: it failed: Traceback (most recent call last):", "  File x", "ValueError: seven", "",
-                     'n0| {"event":"it failed","exception":"..."}',
-                     '{"event":"failed","exception":"Traceback (most recent call last)\\n  KeyError"}',
-                     '{"event":"counters flows=5 held_flows=0","level":"info"}'):
+        for line in (
+            "n0: listening on 127.1.0.1:1",
+            "n0: counters flows=3 held_flows=1",
+            "n0: it failed: Traceback (most recent call last):",
+            "  File x",
+            "ValueError: seven",
+            "",
+            'n0| {"event":"it failed","exception":"..."}',
+            '{"event":"failed","exception":"Traceback (most recent call last)\\n  KeyError"}',
+            '{"event":"counters flows=5 held_flows=0","level":"info"}',
+        ):
             node._line(line)
         faults = [record for record in ledger.records if isinstance(record, Fault)]
         self.assertEqual(2, len(faults))
@@ -127,8 +165,10 @@
         due = [item for item in clients.items(day) if item.at >= drive.WARM]
         records: list[Any] = []
         for item in due:
-            records += [Sent(item.at + 400, f"{item.number}", item.number, 0, 0, 0),
-                        Answer(item.at + 1400, f"{item.number}", 200, -1.0, "")]
+            records += [
+                Sent(item.at + 400, f"{item.number}", item.number, 0, 0, 0),
+                Answer(item.at + 1400, f"{item.number}", 200, -1.0, ""),
+            ]
         found = drive.figures(day, 200, records, "")
         self.assertEqual((len(due), len(due), len(due)), (found.jobs, found.sent, found.served))
         self.assertTrue(found.on_time)
@@ -139,10 +179,13 @@
 
 class OnSockets(unittest.TestCase):
     def test_a_day_with_a_kill_and_a_restart(self) -> None:
-        day = short_day(4 * SECOND, Trouble("kill", SECOND, 1500 * MS, nodes=(0,)),
-                        Trouble("crash", 1200 * MS, 2 * SECOND, boxes=(1,)),
-                        Trouble("roster_move", 2 * SECOND, 2 * SECOND),
-                        Trouble("pause", 2500 * MS, 2600 * MS, nodes=(1,)))
+        day = short_day(
+            4 * SECOND,
+            Trouble("kill", SECOND, 1500 * MS, nodes=(0,)),
+            Trouble("crash", 1200 * MS, 2 * SECOND, boxes=(1,)),
+            Trouble("roster_move", 2 * SECOND, 2 * SECOND),
+            Trouble("pause", 2500 * MS, 2600 * MS, nodes=(1,)),
+        )
         before = children(os.getpid())
         seen: list[Record] = []
         outcome = LiveStage(late=20 * SECOND).play(day, Options(after=1800 * MS), seen.append)
@@ -150,8 +193,9 @@
         self.assertEqual([], judge(outcome).violations, outcome.log)
         self.assertEqual(sorted(before), sorted(children(os.getpid())))
         self.assertEqual([], list(Path(gettempdir()).glob(f"violetsaddle-lab-{os.getpid()}-*")))
-        lives = [[r.what for r in outcome.records if isinstance(r, NodeLife) and r.node == node]
-                 for node in (0, 1)]
+        lives = [
+            [r.what for r in outcome.records if isinstance(r, NodeLife) and r.node == node] for node in (0, 1)
+        ]
         self.assertEqual(["start", "ready", "kill", "start"], lives[0][:4])
         self.assertEqual(["start", "ready", "pause", "resume", "term", "ended"], lives[1])
         self.assertEqual(["term", "ended"], lives[0][-2:])
@@ -162,12 +206,15 @@
         self.assertGreater(outcome.peak, 5)
 
     def test_nothing_outlives_a_stage_that_is_killed(self) -> None:
-        script = ("from tests.test_live import *\n"
-                  "LiveStage().play(short_day(60 * SECOND), watch=lambda _: print('plays', flush=True))")
+        script = (
+            "from tests.test_live import *\n"
+            "LiveStage().play(short_day(60 * SECOND), watch=lambda _: print('plays', flush=True))"
+        )
         # A stage that is killed leaves its folder.
         folder = self.enterContext(TemporaryDirectory())
-        with subprocess.Popen([sys.executable, "-c", script], stdout=subprocess.PIPE,
-                              env={**os.environ, "TMPDIR": folder}) as stage:
+        with subprocess.Popen(
+            [sys.executable, "-c", script], stdout=subprocess.PIPE, env={**os.environ, "TMPDIR": folder}
+        ) as stage:
             assert stage.stdout is not None
             self.assertEqual(b"plays\n", stage.stdout.readline())
             pids = children(stage.pid)
--- a/tests/test_memory.py
+++ b/tests/test_memory.py
@@ -18,8 +18,15 @@
 
 NAMES = [f"s-{n}" for n in range(6)]
 UNIX = 1_750_000_000 * SECOND
-MORE: dict[str, Any] = {"tells_start": True, "report": frozenset({"free_slots"}), "kinds": 2, "zones": 2,
-                        "must_ask": True, "cold_from": 0.2, "cold_for": 5 * SECOND}
+MORE: dict[str, Any] = {
+    "tells_start": True,
+    "report": frozenset({"free_slots"}),
+    "kinds": 2,
+    "zones": 2,
+    "must_ask": True,
+    "cold_from": 0.2,
+    "cold_for": 5 * SECOND,
+}
 numbers = st.one_of(st.floats(), st.floats(0, 2), st.integers(-(1 << 62), 1 << 62))
 whole = st.integers(-(1 << 62), 1 << 62)
 
@@ -35,9 +42,14 @@
 
 
 def listing(version: int = 1, **started: int) -> dict[str, Any]:
-    return {"version": version, "full": True, "servers": [
-        {"id": name, "addr": "127.0.0.1:1", "started_ms": started.get(name.replace("-", ""), 0)}
-        for name in NAMES]}
+    return {
+        "version": version,
+        "full": True,
+        "servers": [
+            {"id": name, "addr": "127.0.0.1:1", "started_ms": started.get(name.replace("-", ""), 0)}
+            for name in NAMES
+        ],
+    }
 
 
 def busy(now: int) -> Balancer:
@@ -62,8 +74,11 @@
     """All numbers that a memory may move."""
     fleet = balancer.fleet
     found = {name: getattr(fleet if name in memory.OF_FLEET else balancer, name) for name in memory.VALUES}
-    found |= {f"{w.id}.{name}": getattr(w, name) for w in balancer.workers.values() for name in (
-        "speed", "errors", "ill_until", "strikes", "shut_until", "trust", "life")}
+    found |= {
+        f"{w.id}.{name}": getattr(w, name)
+        for w in balancer.workers.values()
+        for name in ("speed", "errors", "ill_until", "strikes", "shut_until", "trust", "life")
+    }
     found |= {f"bucket{n}": b.tokens for n, b in enumerate(balancer.buckets)}
     return {**found, "retries": balancer.retries}
 
@@ -114,8 +129,9 @@
         fresh.members(now, "disk", [Entry(crc32(name)) for name in (b"t-0", b"t-1")])
         found = believe(fresh, self.kept, now, UNIX + SECOND)
         self.assertEqual((found.boxes, found.passed, found.why), (0, 6, ""))
-        self.assertEqual({(w.speed, w.errors, w.trust, w.strikes) for w in fresh.workers.values()},
-                         {(0.0, 0.0, 1.0, 0)})
+        self.assertEqual(
+            {(w.speed, w.errors, w.trust, w.strikes) for w in fresh.workers.values()}, {(0.0, 0.0, 1.0, 0)}
+        )
         self.assertEqual(fresh.fleet.most_free, self.old.fleet.most_free)
 
     def test_a_cold_box_never_gets_more_than_a_fresh_start_gives(self) -> None:
@@ -132,8 +148,11 @@
     def test_clocks(self) -> None:
         fresh = node(20 * SECOND)
         before = state(fresh)
-        for unix, mono, now, why in ((UNIX - SECOND, -1, 0, "set back"), (UNIX + 61 * SECOND, -1, 0, "61 s"),
-                                     (UNIX, 0, 61 * SECOND, "61 s")):
+        for unix, mono, now, why in (
+            (UNIX - SECOND, -1, 0, "set back"),
+            (UNIX + 61 * SECOND, -1, 0, "61 s"),
+            (UNIX, 0, 61 * SECOND, "61 s"),
+        ):
             found = believe(fresh, msgspec.structs.replace(self.kept, mono=mono), now, unix)
             self.assertIn(why, found.why)
             self.assertEqual(state(fresh), before)
@@ -164,31 +183,50 @@
         held = Listing()
         self.assertIsNone(held.whole())
         held.take(listing(3), "d:1")
-        held.take({"version": 4, "full": False, "servers": [
-            {"id": "s-0", "state": "removed"}, {"id": "s-1", "state": "draining"}]}, "d:1")
+        held.take(
+            {
+                "version": 4,
+                "full": False,
+                "servers": [{"id": "s-0", "state": "removed"}, {"id": "s-1", "state": "draining"}],
+            },
+            "d:1",
+        )
         whole = cast(dict[str, Any], held.whole())
-        self.assertEqual([(i["id"], i.get("state")) for i in whole["servers"]],
-                         [("s-1", "draining"), *((f"s-{n}", None) for n in range(2, 6))])
+        self.assertEqual(
+            [(i["id"], i.get("state")) for i in whole["servers"]],
+            [("s-1", "draining"), *((f"s-{n}", None) for n in range(2, 6))],
+        )
         old = Memory(UNIX, listing=whole, source="d:1")
-        for known, source, age, wanted in ((listing(3), "d:1", 0, True), (None, "d:1", 0, True),
-                                           (listing(4), "d:1", 0, False), (listing(3), "d:2", 0, False),
-                                           (listing(3), "d:1", 61 * SECOND, False),
-                                           (listing(3), "d:1", None, False)):
+        for known, source, age, wanted in (
+            (listing(3), "d:1", 0, True),
+            (None, "d:1", 0, True),
+            (listing(4), "d:1", 0, False),
+            (listing(3), "d:2", 0, False),
+            (listing(3), "d:1", 61 * SECOND, False),
+            (listing(3), "d:1", None, False),
+        ):
             self.assertEqual(memory.newer(old, known, source, age, 60 * SECOND) is not None, wanted)
 
     boxes = st.builds(Box, whole, numbers, numbers, whole, whole, numbers, whole, whole, st.none() | numbers)
     memories = st.builds(
-        Memory, st.just(UNIX) | whole, whole, st.dictionaries(st.sampled_from([*AGING]) | st.text(), numbers),
+        Memory,
+        st.just(UNIX) | whole,
+        whole,
+        st.dictionaries(st.sampled_from([*AGING]) | st.text(), numbers),
         st.dictionaries(whole | st.integers(0, 2), numbers),
         st.dictionaries(whole | st.integers(0, 2), numbers),
-        st.lists(st.builds(Bucket, st.none() | numbers, numbers), max_size=3), numbers,
-        st.dictionaries(st.sampled_from(NAMES) | st.text(), boxes, max_size=8), st.lists(st.text()))
+        st.lists(st.builds(Bucket, st.none() | numbers, numbers), max_size=3),
+        numbers,
+        st.dictionaries(st.sampled_from(NAMES) | st.text(), boxes, max_size=8),
+        st.lists(st.text()),
+    )
 
     @settings(max_examples=120, deadline=None, derandomize=True)
     @given(memories, st.integers(0, 100 * SECOND))
     def test_no_memory_does_harm(self, told: Memory, age: int) -> None:
         balancer, recorder = make(workers=0, **MORE)
         balancer.members(SECOND, "disk", [entry(name, started=SECOND // 2) for name in NAMES])
+
         def listed() -> dict[int, tuple[Any, ...]]:
             return {w.id: (w.state, w.started, w.cold_until) for w in balancer.workers.values()}
 
--- a/tests/test_node.py
+++ b/tests/test_node.py
@@ -14,8 +14,10 @@
 from violetsaddle.policy import mix
 
 TWO_TRIES = {"permissions": {**SETTINGS["permissions"], "mostTries": 2}}
-PROBING = {"permissions": {**SETTINGS["permissions"], "mayProbe": True},
-           "report": {"names": ["x0", "utilization"], "via": "pull"}}
+PROBING = {
+    "permissions": {**SETTINGS["permissions"], "mayProbe": True},
+    "report": {"names": ["x0", "utilization"], "via": "pull"},
+}
 
 TAKEN = """
             c send job a quote
@@ -147,11 +149,10 @@
             node expect counters | probes=2 | probes_ok=2
         """)
 
-
     def test_what_another_node_tells_counts_as_load(self) -> None:
         # Own jobs alone once counted: a real server looked idle while other nodes filled it.
         self.start({**PROBING, "siblings": 2, "permissions": {**PROBING["permissions"], "mayTell": True}})
-        one, two = ((mix(crc32(name), 2) & 0x7ff) << 5 for name in (b"s-1", b"s-2"))
+        one, two = ((mix(crc32(name), 2) & 0x7FF) << 5 for name in (b"s-1", b"s-2"))
         self.play(f"""
             c send job a quote
             s expect ~GET /metrics/load
@@ -360,7 +361,10 @@
         # On a joining day real servers had no room for a connection but ran what they had: after three tries
         # in 100 ms the next scheduling left, a second copy.
         self.start({"familyInfo": {"tellsStart": True}})
-        self.play(TAKEN + LOST * 5 + """
+        self.play(
+            TAKEN
+            + LOST * 5
+            + """
             s expect DELETE /jobs/a
             s send 204
             s expect POST /api | X-Txn: a
@@ -369,7 +373,8 @@
             c expect 200
             node send USR1
             node expect counters | deletes=1 | deletes_again=5
-        """)
+        """
+        )
 
     def test_what_ends_while_its_delete_finds_no_way_is_taken_at_its_word(self) -> None:
         self.start({"familyInfo": {"tellsStart": True}})
@@ -377,13 +382,18 @@
 
     def test_a_client_gone_does_not_keep_a_node_that_ends(self) -> None:
         self.start({"familyInfo": {"tellsStart": True}})
-        self.play(TAKEN + """
+        self.play(
+            TAKEN
+            + """
             s call+ a started
             c close
-        """ + LOST * 3 + """
+        """
+            + LOST * 3
+            + """
             node send TERM
             node expect exit 0
-        """)
+        """
+        )
 
     def test_time_running_out_is_answered_and_told_to_the_real_server(self) -> None:
         self.start()
@@ -429,11 +439,13 @@
         self.start()
         good = "X-Txn: a | X-Lane: quote | X-Org: acme | X-Remaining: 9m"
         bad = [
-            ("RAW nonsense | |", 400), ("RAW GET /up HTTP/2.0 | | ", 505),
+            ("RAW nonsense | |", 400),
+            ("RAW GET /up HTTP/2.0 | | ", 505),
             ("RAW GET /up HTTP/1.1 |  x: y | | ", 400),
             ("RAW POST /api HTTP/1.1 | X-Txn: a | X-Lane: quote | X-Org: acme | X-Remaining: 9m | | ", 400),
             ("POST /api | Host: other | X-Txn: a | X-Lane: quote | X-Org: acme | X-Remaining: 9m | | ", 400),
-            ("RAW GET /up HTTP/1.1 | Host: a | Host: b | | ", 400), ("RAW GET /up HTTP/1.1 | | ", 400),
+            ("RAW GET /up HTTP/1.1 | Host: a | Host: b | | ", 400),
+            ("RAW GET /up HTTP/1.1 | | ", 400),
             ("RAW POST /callback HTTP/1.1 | Content-Length: 2 | | {}", 400),
             ("RAW POST /api HTTP/1.1 | Host: n | Content-Length: 1 | Transfer-Encoding: chunked | | ", 400),
             ("RAW POST /api HTTP/1.1 | Host: n | Content-Length: -1 | | ", 400),
@@ -442,15 +454,20 @@
             ("RAW POST /api HTTP/1.1 | Host: n | Content-Length: 65537 | | LONG(65537)", 413),
             ("RAW POST /api HTTP/1.1 | Host: n | Transfer-Encoding: chunked | | 10001\\r\\nLONG(65537)", 413),
             ("RAW GET /up HTTP/1.1 | X: LONG(20000)", 431),
-            ("GET /nowhere", 404), ("GET /api", 405), ("POST /up", 405), ("GET /callback", 405),
-            ("POST /callback | | {", 400), ("POST /callback | | {\"id\":\"a\"}", 400),
+            ("GET /nowhere", 404),
+            ("GET /api", 405),
+            ("POST /up", 405),
+            ("GET /callback", 405),
+            ("POST /callback | | {", 400),
+            ('POST /callback | | {"id":"a"}', 400),
             ("POST /callback | | [1]", 400),
             (f"POST /api | {good.replace('X-Txn: a', 'X-Txn: a b')}", 400),
             (f"POST /api | {good.replace('X-Txn: a | ', '')}", 400),
             (f"POST /api | {good.replace('quote', 'unknown')}", 400),
             (f"POST /api | {good.replace(' | X-Lane: quote', '')}", 400),
             (f"POST /api | {good.replace('acme', 'unknown')}", 400),
-            (f"POST /api | {good.replace('9m', '9')}", 400), (f"POST /api | {good.replace('9m', '0m')}", 400),
+            (f"POST /api | {good.replace('9m', '9')}", 400),
+            (f"POST /api | {good.replace('9m', '0m')}", 400),
             (f"POST /api | {good} | X-Labels: slots=many", 400),
             (f"POST /api | {good.replace('quote', 'charge')}", 400),  # no Idempotency-Key
         ]
@@ -523,7 +540,8 @@
     def test_at_the_limit_an_idle_edge_connection_makes_room(self) -> None:
         self.start(limits={"sockets": 80})  # ten edge connections
         self.play("\n".join(f"c{n} send GET /up\nc{n} expect 200" for n in range(12)))
-        self.play("""
+        self.play(
+            """
             c0 wait
             c1 wait
             c2 wait
@@ -534,7 +552,8 @@
             s send 202
             s call+ a done result=x
             c11 expect 200
-        """.replace("MANY", "&".join(["a=1"] * 100)))
+        """.replace("MANY", "&".join(["a=1"] * 100))
+        )
 
     def test_at_the_limit_with_none_idle_the_next_answer_makes_room(self) -> None:
         # Accepting once resumed only when a connection ended: kept-alive ones shut everybody else out.
@@ -580,22 +599,25 @@
         self.start(servers=0)
         fields = "X-Lane: quote | X-Org: acme | X-Remaining: 9m | Content-Length: 0".replace(" | ", "\\r\\n")
         first = "POST /api HTTP/1.1\\r\\nHost: n"
-        self.play("c send RAW " + "".join(
-            f"{first}\\r\\nX-Txn: a{n}\\r\\n{fields}\\r\\n\\r\\n" for n in range(500)))
+        self.play(
+            "c send RAW " + "".join(f"{first}\\r\\nX-Txn: a{n}\\r\\n{fields}\\r\\n\\r\\n" for n in range(500))
+        )
         self.play("\n".join(["c expect 429 | Retry-After"] * 500))
 
-
     def test_too_much_sent_ahead_waits_and_loses_no_flow(self) -> None:
         # The connection was once aborted, with the answer to its first request still owed.
         self.start()
         ahead = "GET /up HTTP/1.1\\r\\nHost: n\\r\\nX: LONG(99)\\r\\n\\r\\n"
         self.play("c send job a settle\nc send RAW " + ahead * 1500)
-        self.play("""
+        self.play(
+            """
             s expect X-Txn: a
             s send 202
             s call+ a done result=kept
             c expect 200 | kept
-        """ + "c expect 200 | ready\n" * 1500)
+        """
+            + "c expect 200 | ready\n" * 1500
+        )
 
 
 class Watching(Scenario):
@@ -663,7 +685,6 @@
             node expect counters | lists_error=2 | !faults
         """)
 
-
     def test_a_new_configuration_moves_the_watch_and_drops_no_flow(self) -> None:
         # SIGHUP once ended the program.  What the environment told at the start no longer counts.
         self.start({"discovery": "ask"})
@@ -690,8 +711,11 @@
     def test_a_configuration_that_cannot_be_used_changes_nothing(self) -> None:
         self.start({"discovery": "ask"})
         self.play("d expect after=1")
-        for change, key in (({"discovery": 5}, "discovery"), ({"settings": {"siblings": "x"}}, "siblings"),
-                            ({"limits": 7}, "limits")):
+        for change, key in (
+            ({"discovery": 5}, "discovery"),
+            ({"settings": {"siblings": "x"}}, "siblings"),
+            ({"limits": 7}, "limits"),
+        ):
             self.replace(**change)
             self.play(f"""
                 node send HUP
@@ -739,22 +763,34 @@
 
     def test_signals_during_the_imports_do_not_end_the_program(self) -> None:
         # A node that was told of a new configuration in its first 0.3 s died of it.
-        early = ("import os, runpy, signal, sys\n"
-                 "class Hook:\n"
-                 "    def find_spec(self, name, *_):\n"
-                 "        if name == 'twisted':\n"
-                 "            os.kill(os.getpid(), signal.SIGHUP)\n"
-                 "            os.kill(os.getpid(), signal.SIGUSR1)\n"
-                 "sys.meta_path.insert(0, Hook())\n"
-                 "runpy.run_module('violetsaddle', run_name='__main__')")
-        ended = subprocess.run([sys.executable, "-c", early], capture_output=True, text=True, timeout=60,
-                               env={k: v for k, v in os.environ.items() if not k.startswith("RELAY_")})
+        early = (
+            "import os, runpy, signal, sys\n"
+            "class Hook:\n"
+            "    def find_spec(self, name, *_):\n"
+            "        if name == 'twisted':\n"
+            "            os.kill(os.getpid(), signal.SIGHUP)\n"
+            "            os.kill(os.getpid(), signal.SIGUSR1)\n"
+            "sys.meta_path.insert(0, Hook())\n"
+            "runpy.run_module('violetsaddle', run_name='__main__')"
+        )
+        ended = subprocess.run(
+            [sys.executable, "-c", early],
+            capture_output=True,
+            text=True,
+            timeout=60,
+            env={k: v for k, v in os.environ.items() if not k.startswith("RELAY_")},
+        )
         self.assertEqual((ended.returncode, ended.stderr), (2, "violetsaddle: RELAY_CONFIG: is not set\n"))
 
     def test_bad_configuration_names_the_key(self) -> None:
-        for change, key in (({"listen": "nowhere"}, "listen"), ({"settings": {"siblings": "x"}}, "siblings"),
-                            ({"settings": 5}, "settings"), ({"seed": "xyz"}, "seed"),
-                            ({"known": {"version": 1}}, "known"), ({"limits": {"sockets": "x"}}, "sockets")):
+        for change, key in (
+            ({"listen": "nowhere"}, "listen"),
+            ({"settings": {"siblings": "x"}}, "siblings"),
+            ({"settings": 5}, "settings"),
+            ({"seed": "xyz"}, "seed"),
+            ({"known": {"version": 1}}, "known"),
+            ({"limits": {"sockets": "x"}}, "sockets"),
+        ):
             good = {"name": "n", "listen": "127.0.0.1:0", "discovery": "127.0.0.1:1", "settings": SETTINGS}
             with self.subTest(key=key):
                 self.servers, self.lines, self.heard = {}, {}, []
--- a/tests/test_operator.py
+++ b/tests/test_operator.py
@@ -33,8 +33,10 @@
 LIMITS = Limits(edge_connections=10, server_connections=10, server_idle=4_500_000, dial=200_000)
 SECTIONS: dict[str, Any] = {field.name: field.type for field in msgspec.structs.fields(Operator)}
 CONFIG: dict[str, Any] = {
-    "listen": "127.0.0.1:0", "discovery": "127.0.0.1:9", "settings": {
-        "requestClasses": [{"name": "a", "target": 100_000, "deadline": 1_000_000}]}}
+    "listen": "127.0.0.1:0",
+    "discovery": "127.0.0.1:9",
+    "settings": {"requestClasses": [{"name": "a", "target": 100_000, "deadline": 1_000_000}]},
+}
 
 
 def written(folder: str, name: str, content: str | bytes) -> str:
@@ -56,8 +58,9 @@
         self.refused("[limits]\nedge_idle = 3", "limits.edge_idle: unknown key, expected edge_idle_ms")
         self.refused("[logs]", "logs: unknown key, expected log")
         self.refused('[limits]\n"a\\nb" = 1', "limits.a\\nb: unknown key")
-        self.refused('[limits]\nfields = "x"',
-                     'limits.fields: expected a whole number from 16 to 1000, not "x"')
+        self.refused(
+            '[limits]\nfields = "x"', 'limits.fields: expected a whole number from 16 to 1000, not "x"'
+        )
         self.refused("[limits]\nfields = true", "limits.fields", "not true")
         self.refused("[limits]\nwatch_pause_ms = 151", "limits.watch_pause_ms", "from 1 to 150, not 151")
         self.refused('[log]\nform = "xml"', 'log.form: expected one of "console", "json", "plain", not "xml"')
@@ -68,8 +71,10 @@
         self.refused("x = " + "9" * 9999, "expected TOML")
 
     def test_times_of_the_end_stand_in_order(self) -> None:
-        self.refused("[limits]\nkeep_idle_ms = 1999",
-                     "limits.keep_idle_ms: expected at least keep_asking_ms (2000), not 1999")
+        self.refused(
+            "[limits]\nkeep_idle_ms = 1999",
+            "limits.keep_idle_ms: expected at least keep_asking_ms (2000), not 1999",
+        )
         self.refused("[limits]\nkeep_idle_ms = 3401", "limits.last_word_ms")
         self.refused("[limits]\nedge_first_ms = 299", "limits.edge_first_ms")
         parse("[limits]\nkeep_idle_ms = 3400", "op.toml")
@@ -83,9 +88,13 @@
 
     def test_files_that_are_none(self) -> None:
         with tempfile.TemporaryDirectory() as folder:
-            for path, wanted in ((folder, "directory"), (folder + "/none", "No such file"),
-                                 (folder + "/\0", "null"), (written(folder, "a", b"\xff"), "UTF-8"),
-                                 (written(folder, "b", b"#" * (1 << 20) + b"#"), "at most 1048576 bytes")):
+            for path, wanted in (
+                (folder, "directory"),
+                (folder + "/none", "No such file"),
+                (folder + "/\0", "null"),
+                (written(folder, "a", b"\xff"), "UTF-8"),
+                (written(folder, "b", b"#" * (1 << 20) + b"#"), "at most 1048576 bytes"),
+            ):
                 with self.assertRaisesRegex(OperatorError, wanted) as caught:
                     load(path)
                 self.assertTrue(str(caught.exception).isprintable())
@@ -95,14 +104,25 @@
     @given(st.data())
     def test_no_document_raises_anything_else(self, data: st.DataObject) -> None:
         value: Any = st.one_of(
-            st.integers(), st.booleans(), st.just("[]"), st.just("{}"), st.dates(), st.floats(),
-            st.text(st.characters(exclude_categories=["Cs", "Cc"])).map(json.dumps), st.just("[{a = 1}]"))
-        line = st.tuples(st.sampled_from([k for s in SECTIONS.values() for k in s.__struct_fields__])
-                         | st.text(st.characters(exclude_categories=["Cs", "Cc"])).map(json.dumps), value)
+            st.integers(),
+            st.booleans(),
+            st.just("[]"),
+            st.just("{}"),
+            st.dates(),
+            st.floats(),
+            st.text(st.characters(exclude_categories=["Cs", "Cc"])).map(json.dumps),
+            st.just("[{a = 1}]"),
+        )
+        line = st.tuples(
+            st.sampled_from([k for s in SECTIONS.values() for k in s.__struct_fields__])
+            | st.text(st.characters(exclude_categories=["Cs", "Cc"])).map(json.dumps),
+            value,
+        )
         lines = data.draw(st.lists(line, max_size=3))
         text = data.draw(st.sampled_from(["", "[log]\n", "[limits]\n", "[[log]]\n", "[limits.x]\n"]))
-        text += "\n".join(f"{key} = {str(v).lower() if isinstance(v, bool | float) else v}"
-                          for key, v in lines)
+        text += "\n".join(
+            f"{key} = {str(v).lower() if isinstance(v, bool | float) else v}" for key, v in lines
+        )
         try:
             self.assertIsInstance(parse(text, "op.toml"), Operator)
         except OperatorError as error:
@@ -110,10 +130,15 @@
 
     def test_the_limits_a_node_gets(self) -> None:
         self.assertEqual(Operator().limits_for(LIMITS), LIMITS)
-        told = parse("[limits]\nedge_idle_ms = 7\nbody_bytes = 2048\nbacklog = 5\ndial_ms = 100\n"
-                     "server_idle_ms = 60000", "op.toml")
-        self.assertEqual(told.limits_for(LIMITS), dataclasses.replace(
-            LIMITS, edge_idle=7_000, body=2048, backlog=5, dial=100_000))  # server_idle: never longer
+        told = parse(
+            "[limits]\nedge_idle_ms = 7\nbody_bytes = 2048\nbacklog = 5\ndial_ms = 100\n"
+            "server_idle_ms = 60000",
+            "op.toml",
+        )
+        self.assertEqual(
+            told.limits_for(LIMITS),
+            dataclasses.replace(LIMITS, edge_idle=7_000, body=2048, backlog=5, dial=100_000),
+        )  # server_idle: never longer
         known = {field.name for field in dataclasses.fields(Limits)}
         for key in Section.__struct_fields__:  # none that would be lost on the way
             self.assertIn(re.sub("_(ms|bytes)$", "", key), known)
@@ -123,8 +148,10 @@
         self.assertEqual(parse(text, "example"), Operator())
         every = re.sub(r"^#(?=\w+ = )", "", text, flags=re.MULTILINE)
         self.assertEqual(parse(every, "example"), Operator())
-        self.assertEqual({name: list(table) for name, table in tomllib.loads(every).items()},
-                         {name: list(kind.__struct_fields__) for name, kind in SECTIONS.items()})
+        self.assertEqual(
+            {name: list(table) for name, table in tomllib.loads(every).items()},
+            {name: list(kind.__struct_fields__) for name, kind in SECTIONS.items()},
+        )
 
 
 class Logs(unittest.TestCase):
@@ -151,15 +178,35 @@
     def test_json_lines(self) -> None:
         made = self.make(form="json", level="debug")
         made.say("a\nb")
-        made.event("scheduling ended", "debug", flow="j", scheduling=1, server="s\ud800", odd=float("nan"),
-                   large=1 << 70, data=b"x")
+        made.event(
+            "scheduling ended",
+            "debug",
+            flow="j",
+            scheduling=1,
+            server="s\ud800",
+            odd=float("nan"),
+            large=1 << 70,
+            data=b"x",
+        )
         made.fault("the module failed", KeyError("x"))
         first, second, third = map(json.loads, self.lines())
-        self.assertEqual(first, {"timestamp": "1970-01-01T00:00:01.500000Z", "level": "info", "event": "a\nb",
-                                 "node": "n1"})
-        self.assertEqual({**second, **dict.fromkeys(("timestamp", "node", "event"))}, {
-            **dict.fromkeys(("timestamp", "node", "event")), "level": "debug", "flow": "j", "scheduling": 1,
-            "server": "s\\ud800", "odd": "nan", "large": str(1 << 70), "data": "b'x'"})
+        self.assertEqual(
+            first,
+            {"timestamp": "1970-01-01T00:00:01.500000Z", "level": "info", "event": "a\nb", "node": "n1"},
+        )
+        self.assertEqual(
+            {**second, **dict.fromkeys(("timestamp", "node", "event"))},
+            {
+                **dict.fromkeys(("timestamp", "node", "event")),
+                "level": "debug",
+                "flow": "j",
+                "scheduling": 1,
+                "server": "s\\ud800",
+                "odd": "nan",
+                "large": str(1 << 70),
+                "data": "b'x'",
+            },
+        )
         self.assertEqual(third["level"], "error")
         self.assertIn("KeyError: 'x'", third["exception"])
 
@@ -168,8 +215,13 @@
         made.say("no")
         made.event("watch broken", "info")
         made.event("server struck\nn1: stopping", "warning", server="s 1\n")
-        self.assertEqual(self.lines(), ["1970-01-01T00:00:01.500000Z [warning  ] "
-                                        "server struck\\nn1: stopping node='n1' server='s 1\\n'"])
+        self.assertEqual(
+            self.lines(),
+            [
+                "1970-01-01T00:00:01.500000Z [warning  ] "
+                "server struck\\nn1: stopping node='n1' server='s 1\\n'"
+            ],
+        )
 
     def test_repeats_are_summed_up_when_the_window_ends(self) -> None:
         rung: list[tuple[int, Any]] = []
@@ -215,7 +267,7 @@
 
     def test_a_missing_package_is_named(self) -> None:
         with mock.patch.dict(sys.modules, {"structlog": None}):
-            with self.assertRaisesRegex(ValueError, "log.form: expected \"plain\".*structlog"):
+            with self.assertRaisesRegex(ValueError, 'log.form: expected "plain".*structlog'):
                 self.make(form="json")
 
 
@@ -229,16 +281,16 @@
             good = written(folder, "good.toml", '[log]\nform = "json"')
             config = written(folder, "config", json.dumps(CONFIG))
             with mock.patch.dict("os.environ", {"RELAY_LISTEN": "nowhere"}):  # must not count
-                self.assertEqual(self.run_cli("check", good, config),
-                                 (0, f"{good}: ok\n{config}: ok\n", ""))
+                self.assertEqual(self.run_cli("check", good, config), (0, f"{good}: ok\n{config}: ok\n", ""))
             listed = {"version": 1, "full": True, "servers": [{"id": "s", "addr": "x"}]}
             for name, content, wanted in (
-                    ("a.toml", "[log]\nlevel = 1", "log.level: expected one of"),
-                    ("a.json", json.dumps({**CONFIG, "listen": 3}), "listen: "),
-                    ("b.json", "{", "line 1"),
-                    ("c.json", json.dumps({**CONFIG, "known": listed}), "known: addr is no address: 'x'"),
-                    ("d.json", json.dumps({**CONFIG, "settings": {"siblings": "x"}}), "siblings"),
-                    ("e\n.toml", "x", "e\\n.toml: expected TOML")):
+                ("a.toml", "[log]\nlevel = 1", "log.level: expected one of"),
+                ("a.json", json.dumps({**CONFIG, "listen": 3}), "listen: "),
+                ("b.json", "{", "line 1"),
+                ("c.json", json.dumps({**CONFIG, "known": listed}), "known: addr is no address: 'x'"),
+                ("d.json", json.dumps({**CONFIG, "settings": {"siblings": "x"}}), "siblings"),
+                ("e\n.toml", "x", "e\\n.toml: expected TOML"),
+            ):
                 status, out, err = self.run_cli("check", written(folder, name, content), good)
                 self.assertEqual((status, out), (2, f"{good}: ok\n"))
                 self.assertIn(wanted, err)
@@ -246,11 +298,13 @@
             self.assertEqual(self.run_cli("check", folder + "/none")[0], 2)
 
     def test_help_imports_neither_a_node_nor_the_lab(self) -> None:
-        code = ("import sys\nfrom violetsaddle.cli.main import main\n"
-                "main(['--help'], standalone_mode=False)\n"
-                "print([m for m in sys.modules if m.partition('.')[0] in "
-                "('twisted', 'numpy', 'matplotlib', 'msgspec', 'structlog', 'rich')"
-                " or m.startswith('violetsaddle.cli.') and m != 'violetsaddle.cli.main'])")
+        code = (
+            "import sys\nfrom violetsaddle.cli.main import main\n"
+            "main(['--help'], standalone_mode=False)\n"
+            "print([m for m in sys.modules if m.partition('.')[0] in "
+            "('twisted', 'numpy', 'matplotlib', 'msgspec', 'structlog', 'rich')"
+            " or m.startswith('violetsaddle.cli.') and m != 'violetsaddle.cli.main'])"
+        )
         out = subprocess.run([sys.executable, "-c", code], capture_output=True, text=True, check=True).stdout
         *shown, modules = out.splitlines()
         self.assertEqual(modules, "[]")
@@ -258,26 +312,42 @@
             self.assertRegex("\n".join(shown), rf"\n  {name} +{re.escape(short)}")
 
     def test_a_node_imports_nothing_for_what_is_off(self) -> None:
-        code = ("import sys, violetsaddle.__main__\n{}\n"
-                "print([m for m in sys.modules if m.partition('.')[0] in ({!r}, 'structlog', 'click')"
-                " or m in ('violetsaddle.net.warmth', 'violetsaddle.net.upgrade', {!r})"
-                " or m.startswith(('violetsaddle.decide.', 'violetsaddle.store'))"
-                " and m != 'violetsaddle.decide.proof'])")
+        code = (
+            "import sys, violetsaddle.__main__\n{}\n"
+            "print([m for m in sys.modules if m.partition('.')[0] in ({!r}, 'structlog', 'click')"
+            " or m in ('violetsaddle.net.warmth', 'violetsaddle.net.upgrade', {!r})"
+            " or m.startswith(('violetsaddle.decide.', 'violetsaddle.store'))"
+            " and m != 'violetsaddle.decide.proof'])"
+        )
         with tempfile.TemporaryDirectory() as folder:
             off = written(folder, "off.toml", "")
             for values, wanted in (
-                    (("", "msgspec", "violetsaddle.operator"), "[]\n"),
-                    (("main = violetsaddle.__main__; told = main.operated('n')[2]; print(main.keeping(told), "
-                      "main.upgrading(told, None, None))", "", ""), "None None\n[]\n")):
+                (("", "msgspec", "violetsaddle.operator"), "[]\n"),
+                (
+                    (
+                        "main = violetsaddle.__main__; told = main.operated('n')[2]; "
+                        "print(main.keeping(told), "
+                        "main.upgrading(told, None, None))",
+                        "",
+                        "",
+                    ),
+                    "None None\n[]\n",
+                ),
+            ):
                 out = subprocess.run(
-                    [sys.executable, "-c", code.format(*values)], capture_output=True, text=True, check=True,
-                    env={**os.environ, "RELAY_OPERATOR": off}).stdout
+                    [sys.executable, "-c", code.format(*values)],
+                    capture_output=True,
+                    text=True,
+                    check=True,
+                    env={**os.environ, "RELAY_OPERATOR": off},
+                ).stdout
                 self.assertEqual(out, wanted)
 
     def test_subcommands_that_are_not_installed(self) -> None:
         with mock.patch.dict(COMMANDS, {"absent": "Not here."}):
-            self.assertEqual(self.run_cli("absent"),
-                             (2, "", "violetsaddle: absent: this installation does not have it\n"))
+            self.assertEqual(
+                self.run_cli("absent"), (2, "", "violetsaddle: absent: this installation does not have it\n")
+            )
             self.assertIn("Not here.", self.run_cli("--help")[1])
         with mock.patch("importlib.import_module", side_effect=ModuleNotFoundError(name="numpy")):
             status, _, err = self.run_cli("lab")
@@ -287,23 +357,39 @@
     def test_serve_starts_what_the_module_starts(self) -> None:
         with tempfile.TemporaryDirectory() as folder:
             path = written(folder, "c.json", json.dumps({**CONFIG, "discovery": 3}))
-            started = [subprocess.run([sys.executable, "-m", *args], capture_output=True, text=True,
-                                      timeout=20, env={"RELAY_CONFIG": path if len(args) == 1 else "other"})
-                       for args in (["violetsaddle"], ["violetsaddle.cli", "serve", "--config", path])]
-        self.assertEqual([(p.returncode, p.stdout, p.stderr) for p in started],
-                         [(2, "", "violetsaddle: discovery: addr is no address: 3\n")] * 2)
+            started = [
+                subprocess.run(
+                    [sys.executable, "-m", *args],
+                    capture_output=True,
+                    text=True,
+                    timeout=20,
+                    env={"RELAY_CONFIG": path if len(args) == 1 else "other"},
+                )
+                for args in (["violetsaddle"], ["violetsaddle.cli", "serve", "--config", path])
+            ]
+        self.assertEqual(
+            [(p.returncode, p.stdout, p.stderr) for p in started],
+            [(2, "", "violetsaddle: discovery: addr is no address: 3\n")] * 2,
+        )
 
     def test_the_program_takes_an_operator_file(self) -> None:
         with tempfile.TemporaryDirectory() as folder:
             config = written(folder, "c.json", json.dumps({**CONFIG, "name": "n7"}))
             bad = written(folder, "bad.toml", "[log]\nlevel = 1")
-            run = subprocess.run([sys.executable, "-m", "violetsaddle.cli", "serve", "--config", config,
-                                  "--operator", bad], capture_output=True, text=True, timeout=20)
+            run = subprocess.run(
+                [sys.executable, "-m", "violetsaddle.cli", "serve", "--config", config, "--operator", bad],
+                capture_output=True,
+                text=True,
+                timeout=20,
+            )
             self.assertEqual((run.returncode, run.stdout, run.stderr.count("\n")), (2, "", 1))
             self.assertIn(f"violetsaddle: {bad}: log.level: expected one of", run.stderr)
             good = written(folder, "good.toml", '[log]\nform = "json"')
-            with subprocess.Popen([sys.executable, "-m", "violetsaddle"], stderr=subprocess.PIPE, env={
-                    "RELAY_CONFIG": config, "RELAY_OPERATOR": good}) as node:
+            with subprocess.Popen(
+                [sys.executable, "-m", "violetsaddle"],
+                stderr=subprocess.PIPE,
+                env={"RELAY_CONFIG": config, "RELAY_OPERATOR": good},
+            ) as node:
                 assert node.stderr is not None
                 line = json.loads(node.stderr.readline())
                 node.kill()
--- a/tests/test_policy.py
+++ b/tests/test_policy.py
@@ -204,8 +204,9 @@
 
 def test_cold_worker_gets_less_than_its_share() -> None:
     balancer, recorder = make(workers=0, cold_from=0.2, cold_for=20 * SECOND)
-    balancer.members(100 * SECOND, "snapshot",
-                     [Entry(1, started=100 * SECOND)] + [Entry(n) for n in range(2, 11)])
+    balancer.members(
+        100 * SECOND, "snapshot", [Entry(1, started=100 * SECOND)] + [Entry(n) for n in range(2, 11)]
+    )
     balancer.own_rate = 100 / SECOND
     for n in range(1000):
         now = 100 * SECOND + n * 10 * MS
@@ -218,8 +219,9 @@
 def test_a_heavy_job_does_not_go_to_a_cold_worker() -> None:
     # Jobs were counted, not their work: one of six seconds once pushed a cold worker over by itself.
     balancer, recorder = make(workers=0, cold_from=0.2, cold_for=20 * SECOND)
-    balancer.members(100 * SECOND, "snapshot",
-                     [Entry(1, started=100 * SECOND)] + [Entry(n) for n in range(2, 11)])
+    balancer.members(
+        100 * SECOND, "snapshot", [Entry(1, started=100 * SECOND)] + [Entry(n) for n in range(2, 11)]
+    )
     balancer.own_rate = 100 / SECOND
     for n in range(250):
         now = 100 * SECOND + n * 10 * MS
--- a/tests/test_recovery.py
+++ b/tests/test_recovery.py
@@ -140,14 +140,21 @@
     assert phase_of(recovery) is Phase.DARK
 
 
-steps = st.lists(st.tuples(st.sampled_from(["refused", "alive", "diff", "whole", "error"]),
-                           st.integers(1, 6), st.integers(0, 3 * SECOND)), max_size=60)
+steps = st.lists(
+    st.tuples(
+        st.sampled_from(["refused", "alive", "diff", "whole", "error"]),
+        st.integers(1, 6),
+        st.integers(0, 3 * SECOND),
+    ),
+    max_size=60,
+)
 
 
 @given(steps)
 @settings(max_examples=300, deadline=None)
-def test_nothing_is_doubted_while_discovery_speaks_nor_said_to_start_in_the_future(told: list[
-        tuple[str, int, int]]) -> None:
+def test_nothing_is_doubted_while_discovery_speaks_nor_said_to_start_in_the_future(
+    told: list[tuple[str, int, int]],
+) -> None:
     now, spoke = 100 * SECOND, -SECOND
     recovery, held = begun(now=now), {e.worker: e.started for e in LIST}
     for what, worker, wait in told:
@@ -206,15 +213,18 @@
     assert fell(SimStage().play(day, Options(operator=str(operator)))) == 0
 
 
-@pytest.mark.parametrize(("boxes", "text"), [(True, ON), (True, ""), (False, ON)],
-                         ids=["all", "all, off", "nodes only"])
+@pytest.mark.parametrize(
+    ("boxes", "text"), [(True, ON), (True, ""), (False, ON)], ids=["all", "all, off", "nodes only"]
+)
 def test_processes_of_a_site_off_at_once(tmp_path: Path, boxes: bool, text: str) -> None:
     operator = tmp_path / "operator.toml"
     operator.write_text(text)
     off = [Trouble("kill", SECOND, 2 * SECOND, nodes=(0, 1, 2))]
     if boxes:
-        off += [Trouble("crash", SECOND, 3 * SECOND, boxes=(0, 1, 2, 3)),
-                Trouble("roster_out", SECOND, 4 * SECOND)]
+        off += [
+            Trouble("crash", SECOND, 3 * SECOND, boxes=(0, 1, 2, 3)),
+            Trouble("roster_out", SECOND, 4 * SECOND),
+        ]
     outcome = play(three(5 * SECOND, *off), 3 * SECOND, str(operator))
     doubted = [told.get("lists_doubted", 0) for told in outcome.counters]
     assert sum(doubted) >= 2 if boxes and text else not any(doubted), "warm real servers are believed"
--- a/tests/test_relay.py
+++ b/tests/test_relay.py
@@ -26,8 +26,12 @@
     day = short_day(length, *troubles)
     load = msgspec.structs.replace(day.load, halls=(0.4, 0.6))
     return msgspec.structs.replace(
-        day, halls=("east", "west"), nodes=(0, 1, 1), load=load,
-        boxes=tuple(msgspec.structs.replace(box, hall=n % 2) for n, box in enumerate(day.boxes)))
+        day,
+        halls=("east", "west"),
+        nodes=(0, 1, 1),
+        load=load,
+        boxes=tuple(msgspec.structs.replace(box, hall=n % 2) for n, box in enumerate(day.boxes)),
+    )
 
 
 def play(day: Day, after: int = 1800 * MS, operator: str = "") -> Outcome:
@@ -80,8 +84,9 @@
 
 def relay(*troubles: Trouble, least: int = 0) -> tuple[RelayParty, Wire]:
     day = three(2 * SECOND, *troubles)
-    day = msgspec.structs.replace(day, links=msgspec.structs.replace(
-        day.links, datagram_least=least, datagram_most=2 * least))
+    day = msgspec.structs.replace(
+        day, links=msgspec.structs.replace(day.links, datagram_least=least, datagram_most=2 * least)
+    )
     wire = Wire()
     party = RelayParty(Scene(day, wire, lambda: 0, Ledger(), PLACES, links=False))
     party.start()
@@ -96,8 +101,9 @@
 
 
 def test_delays_doubles_and_one_way_cuts_are_the_days() -> None:
-    party, wire = relay(Trouble("oneway", SECOND, EVER, halls=(0,)), Trouble("twice", 0, EVER, factor=1.0),
-                        least=MS)
+    party, wire = relay(
+        Trouble("oneway", SECOND, EVER, halls=(0,)), Trouble("twice", 0, EVER, factor=1.0), least=MS
+    )
     for at in sorted(party._links.changes)[:1]:
         party._links.at(at)
     wire.due.clear()
--- a/tests/test_repeats.py
+++ b/tests/test_repeats.py
@@ -19,8 +19,18 @@
 
 
 def told(*classes: RequestClass, **changes: Any) -> Settings:
-    return Settings(classes=classes, zones=2, progress_every=SECOND, **{
-        "may_cancel": True, "most_attempts": 4, "connect_timeout": 250 * MS, "tells_start": True, **changes})
+    return Settings(
+        classes=classes,
+        zones=2,
+        progress_every=SECOND,
+        **{
+            "may_cancel": True,
+            "most_attempts": 4,
+            "connect_timeout": 250 * MS,
+            "tells_start": True,
+            **changes,
+        },
+    )
 
 
 def keyed(window: int, group: str = "zone") -> RequestClass:
@@ -166,6 +176,7 @@
 
 # The search.
 
+
 class Sent:
     """One message whose last byte has left, as the oracle sees it."""
 
@@ -200,8 +211,11 @@
             one.over = True
 
     def may_refuse(self, job: str) -> bool:
-        return (self.spec.effect == SAFE or (self.spec.effect == KEYED and self.spec.group == "all")
-                or all(one.proven for one in self.sent.get(job, [])))
+        return (
+            self.spec.effect == SAFE
+            or (self.spec.effect == KEYED and self.spec.group == "all")
+            or all(one.proven for one in self.sent.get(job, []))
+        )
 
     def reply(self, wire: Wire, what: str) -> None:
         """An answer of the real server, to a job or a DELETE."""
@@ -227,13 +241,53 @@
 
 SPECS = st.builds(
     lambda effect, group, window: RequestClass(200 * MS, DEADLINE, effect, group, window),
-    st.sampled_from([UNSAFE, KEYED, KEYED, SAFE]), st.sampled_from(["all", "zone"]),
-    st.sampled_from([150 * MS, 700 * MS, 1500 * MS, 6 * SECOND]))
+    st.sampled_from([UNSAFE, KEYED, KEYED, SAFE]),
+    st.sampled_from(["all", "zone"]),
+    st.sampled_from([150 * MS, 700 * MS, 1500 * MS, 6 * SECOND]),
+)
 # What happens, and to which of the parties there are.
-EVENTS = st.lists(st.tuples(st.sampled_from(
-    ["go", "go", "go", "go", "up", "flush", "part", "202", "202", "204", "500", "404", "503", "turned away",
-     "lose", "lose", "fail", "started", "done", "failed", "returned", "returned", "lost", "lost", "wait",
-     "long", "hide", "list", "move", "drop", "leave"]), st.integers(0, 7)), min_size=6, max_size=40)
+EVENTS = st.lists(
+    st.tuples(
+        st.sampled_from(
+            [
+                "go",
+                "go",
+                "go",
+                "go",
+                "up",
+                "flush",
+                "part",
+                "202",
+                "202",
+                "204",
+                "500",
+                "404",
+                "503",
+                "turned away",
+                "lose",
+                "lose",
+                "fail",
+                "started",
+                "done",
+                "failed",
+                "returned",
+                "returned",
+                "lost",
+                "lost",
+                "wait",
+                "long",
+                "hide",
+                "list",
+                "move",
+                "drop",
+                "leave",
+            ]
+        ),
+        st.integers(0, 7),
+    ),
+    min_size=6,
+    max_size=40,
+)
 
 
 def happen(net: Watched, what: str, which: int, asked: dict[str, Any]) -> None:
@@ -281,8 +335,9 @@
 
 @settings(max_examples=400, deadline=None, derandomize=True)
 @given(SPECS, st.booleans(), EVENTS)
-def test_every_order_of_events_keeps_the_rule(spec: RequestClass, cancel: bool,
-                                              events: list[tuple[str, int]]) -> None:
+def test_every_order_of_events_keeps_the_rule(
+    spec: RequestClass, cancel: bool, events: list[tuple[str, int]]
+) -> None:
     net = Watched(spec, cancel)
     net.zones = {f"s-{n}": n % 2 for n in range(1, 6)}
     net.listed(api.DISK, **{name: (api.ACTIVE, zone, int(name[2:])) for name, zone in net.zones.items()})
--- a/tests/test_sim.py
+++ b/tests/test_sim.py
@@ -46,11 +46,32 @@
 
 def make_day(*troubles: Trouble, **links: Any) -> Day:
     values: dict[str, Any] = {
-        "same": 100, "cross": 600, "client": 300, "jitter": 0.2, "datagram_least": 2 * MS,
-        "datagram_most": 9 * MS, "datagram_loss": 0.0, "datagram_twice": 0.0, "cut_bytes": 0.3, **links}
-    return Day("test", 1, 20 * SECOND, ("a", "b"), (0, 1), (), (), (), (), LinkSpec(**values),
-               LoadSpec(1, 0, 1, (1, 0), 1, 0, 1, 0, 0, 0, 0), RosterSpec(1, 1, 1, 1, 1, 1, 1),
-               troubles=troubles)
+        "same": 100,
+        "cross": 600,
+        "client": 300,
+        "jitter": 0.2,
+        "datagram_least": 2 * MS,
+        "datagram_most": 9 * MS,
+        "datagram_loss": 0.0,
+        "datagram_twice": 0.0,
+        "cut_bytes": 0.3,
+        **links,
+    }
+    return Day(
+        "test",
+        1,
+        20 * SECOND,
+        ("a", "b"),
+        (0, 1),
+        (),
+        (),
+        (),
+        (),
+        LinkSpec(**values),
+        LoadSpec(1, 0, 1, (1, 0), 1, 0, 1, 0, 0, 0, 0),
+        RosterSpec(1, 1, 1, 1, 1, 1, 1),
+        troubles=troubles,
+    )
 
 
 class Real:
@@ -225,8 +246,7 @@
 
     def dial(self, port: Any, end: End, timeout: float | None = 5) -> tuple[Any, Dials]:
         dials = Dials(end)
-        connector = self.stand.client.connectTCP(
-            self.stand.at, port.getHost().port, dials, timeout=timeout)
+        connector = self.stand.client.connectTCP(self.stand.at, port.getHost().port, dials, timeout=timeout)
         return connector, dials
 
     def endpoint(self, port: Any, end: End) -> Any:
@@ -248,8 +268,10 @@
             return b""
 
     def over(self, *ends: End) -> list[list[str]]:
-        self.stand.until(lambda: all(e.events and e.events[-1] not in ("made", "read end", "write end")
-                                     for e in ends), "both ends are over")
+        self.stand.until(
+            lambda: all(e.events and e.events[-1] not in ("made", "read end", "write end") for e in ends),
+            "both ends are over",
+        )
         return [e.events for e in ends]
 
     def test_echo(self) -> None:
@@ -258,7 +280,8 @@
                 end.transport.write(bytes(end.heard))
 
         server, client = self.pair(
-            End(data=echo), End(lambda e: e.transport.write(b"hello"), lose_after_five))
+            End(data=echo), End(lambda e: e.transport.write(b"hello"), lose_after_five)
+        )
         self.equal(self.over(server, client), [["made", "ConnectionDone"]] * 2)
         self.equal((server.heard, client.heard), (b"hello", b"hello"))
         self.stand.until(lambda: self.dialled[1].lost, "the factory hears of it")
@@ -288,8 +311,10 @@
         self.equal((server.heard, client.heard), (b"ask", b"answer"))
         client.transport.write(b"nothing more goes out")
         client.transport.loseConnection()
-        self.equal(self.over(server, client), [
-            ["made", "read end", "ConnectionDone"], ["made", "write end", "read end", "ConnectionDone"]])
+        self.equal(
+            self.over(server, client),
+            [["made", "read end", "ConnectionDone"], ["made", "write end", "read end", "ConnectionDone"]],
+        )
         self.equal(server.heard, b"ask")
 
     def test_half_close_ends_a_plain_protocol(self) -> None:
@@ -298,6 +323,7 @@
 
     def test_an_end_that_comes_with_the_data(self) -> None:
         """Twisted reads it before it writes: a plain protocol's answer is lost there."""
+
         def made(end: End) -> None:
             end.transport.write(b"ask")
             end.transport.loseWriteConnection()
@@ -472,8 +498,10 @@
 
         one, other = Hears(), Hears()
         here = "127.0.0.1" if isinstance(self.stand, Real) else "10.0.0.1"
-        ports = [self.stand.client.listenUDP(0, one, here),
-                 self.stand.server.listenUDP(0, other, self.stand.at)]
+        ports = [
+            self.stand.client.listenUDP(0, one, here),
+            self.stand.server.listenUDP(0, other, self.stand.at),
+        ]
         one.transport.write(b"word", (self.stand.at, ports[1].getHost().port))
         self.stand.until(lambda: other.heard, "heard")
         self.equal(other.heard, [(b"word", (here, ports[0].getHost().port))])
@@ -619,16 +647,19 @@
         links = Links(day, world.chance(1, "net"))
         links.at(0)
         node, box, client, roster = Place(0, node=0), Place(1, box=1), Place(CLIENTS), Place(ROSTER)
-        self.assertEqual([links.passes(node, to) for to in (node, box, client, roster)],
-                         [True, False, True, False])
+        self.assertEqual(
+            [links.passes(node, to) for to in (node, box, client, roster)], [True, False, True, False]
+        )
         links.at(9)
         self.assertEqual([links.passes(to, box) for to in (node, client, roster)], [False] * 3)
         links.at(20)
         self.assertTrue(links.passes(box, node) and not links.troubled)
 
     def test_datagrams_lost_and_twice(self) -> None:
-        links = Links(make_day(Trouble("loss", 0, 10, factor=1.0), Trouble("twice", 10, 20, factor=1.0)),
-                      world.chance(1, "net"))
+        links = Links(
+            make_day(Trouble("loss", 0, 10, factor=1.0), Trouble("twice", 10, 20, factor=1.0)),
+            world.chance(1, "net"),
+        )
         links.at(0)
         here, there = Place(0), Place(1)
         self.assertEqual(links.datagram(here, there), [])
@@ -691,38 +722,70 @@
 
     def test_troubles_of_nodes(self) -> None:
         outcome = self.play(
-            Trouble("kill", SECOND, 2 * SECOND, nodes=(0,)), Trouble("pause", SECOND, 2 * SECOND, nodes=(1,)),
-            Trouble("clock", 2 * SECOND, 3 * SECOND, nodes=(1,)), Trouble("roster_move", SECOND, 2 * SECOND),
-            Trouble("restart", 3 * SECOND, 4 * SECOND, nodes=(0,)))
-        self.assertEqual(self.lives(outcome, 0), [
-            (0, "start"), (0, "ready"), (0, "kill"), (1, "start"), (1, "ready"), (1, "term"), (1, "ended"),
-            (2, "start"), (2, "ready"), (2, "term"), (2, "ended")])
-        self.assertEqual(self.lives(outcome, 1),
-                         [(0, w) for w in ("start", "ready", "pause", "resume", "term", "ended")])
-        self.assertEqual([r.kind for r in outcome.records if isinstance(r, Mark)],
-                         ["kill", "pause", "roster_move", "clock", "restart"])
+            Trouble("kill", SECOND, 2 * SECOND, nodes=(0,)),
+            Trouble("pause", SECOND, 2 * SECOND, nodes=(1,)),
+            Trouble("clock", 2 * SECOND, 3 * SECOND, nodes=(1,)),
+            Trouble("roster_move", SECOND, 2 * SECOND),
+            Trouble("restart", 3 * SECOND, 4 * SECOND, nodes=(0,)),
+        )
+        self.assertEqual(
+            self.lives(outcome, 0),
+            [
+                (0, "start"),
+                (0, "ready"),
+                (0, "kill"),
+                (1, "start"),
+                (1, "ready"),
+                (1, "term"),
+                (1, "ended"),
+                (2, "start"),
+                (2, "ready"),
+                (2, "term"),
+                (2, "ended"),
+            ],
+        )
+        self.assertEqual(
+            self.lives(outcome, 1), [(0, w) for w in ("start", "ready", "pause", "resume", "term", "ended")]
+        )
+        self.assertEqual(
+            [r.kind for r in outcome.records if isinstance(r, Mark)],
+            ["kill", "pause", "roster_move", "clock", "restart"],
+        )
         self.assertEqual(outcome.counters[1]["reloads"], 1)
         self.clean(outcome)
 
     def test_the_same_day_again(self) -> None:
         """Also in another process, where strings hash otherwise."""
-        troubles = (Trouble("crash", SECOND, 3 * SECOND, boxes=(1,)), Trouble("rude", 0, SECOND, factor=9.0),
-                    Trouble("kill", SECOND, 2 * SECOND, nodes=(0,)))
+        troubles = (
+            Trouble("crash", SECOND, 3 * SECOND, boxes=(1,)),
+            Trouble("rude", 0, SECOND, factor=9.0),
+            Trouble("kill", SECOND, 2 * SECOND, nodes=(0,)),
+        )
         first = self.play(*troubles)
         self.assertEqual(digest(first), digest(self.play(*troubles)))
         day = msgspec.json.encode(small_day(troubles=troubles))
-        program = ("import sys, msgspec; from tests.test_sim import *\n"
-                   "day = world.decode(sys.stdin.buffer.read())\n"
-                   "print(digest(SimStage().play(day, Options(after=5 * SECOND))))")
-        done = subprocess.run([sys.executable, "-c", program], input=day, capture_output=True, check=True,
-                              env={**os.environ, "PYTHONHASHSEED": "77"})
+        program = (
+            "import sys, msgspec; from tests.test_sim import *\n"
+            "day = world.decode(sys.stdin.buffer.read())\n"
+            "print(digest(SimStage().play(day, Options(after=5 * SECOND))))"
+        )
+        done = subprocess.run(
+            [sys.executable, "-c", program],
+            input=day,
+            capture_output=True,
+            check=True,
+            env={**os.environ, "PYTHONHASHSEED": "77"},
+        )
         self.assertEqual(done.stdout.decode().strip(), digest(first))
         other = SimStage().play(small_day(4, troubles=troubles), Options(after=5 * SECOND))
         self.assertNotEqual(digest(other), digest(first))
 
     def test_what_is_left_is_told(self) -> None:
-        for where, name, left in ((SlotTable, "free", "flows"), (SlotTable, "free", "edge connections"),
-                                  (Deadlines, "drop", "deadlines")):
+        for where, name, left in (
+            (SlotTable, "free", "flows"),
+            (SlotTable, "free", "edge connections"),
+            (Deadlines, "drop", "deadlines"),
+        ):
             with self.subTest(left), mock.patch.object(where, name, lambda *_: None):
                 outcome = self.play()
                 self.assertIn(left, [r.what for r in outcome.records if isinstance(r, LeftOver)])
--- a/tests/test_sizes.py
+++ b/tests/test_sizes.py
@@ -13,15 +13,28 @@
 
 MANY = 1024
 TIER: dict[str, Any] = {
-    "discovery": "ask", "siblings": MANY, "ordinal": 0,
-    "permissions": {**SETTINGS["permissions"], "mayTell": True}}
+    "discovery": "ask",
+    "siblings": MANY,
+    "ordinal": 0,
+    "permissions": {**SETTINGS["permissions"], "mayTell": True},
+}
 
 
 def entries(up: dict[str, str]) -> list[dict[str, Any]]:
     """All real servers; those that are up, by name, with their addresses."""
-    return [{"id": name, "addr": up.get(name, f"127.0.0.1:{20_000 + n}"), "zone": "east", "kind": "box",
-             "cell": n // 8, "state": "up" if name in up else "draining", "weight": 1.0, "started_ms": 0}
-            for n, name in enumerate([*up, *(f"server-of-a-large-tier-{n}" for n in range(MANY - len(up)))])]
+    return [
+        {
+            "id": name,
+            "addr": up.get(name, f"127.0.0.1:{20_000 + n}"),
+            "zone": "east",
+            "kind": "box",
+            "cell": n // 8,
+            "state": "up" if name in up else "draining",
+            "weight": 1.0,
+            "started_ms": 0,
+        }
+        for n, name in enumerate([*up, *(f"server-of-a-large-tier-{n}" for n in range(MANY - len(up)))])
+    ]
 
 
 class Sizes(Scenario):
@@ -42,12 +55,12 @@
         self.play("d expect after=1")
         line.sock.sendall(b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n" % len(answer))
         for at in range(0, len(answer), 1000):
-            line.sock.sendall(answer[at:at + 1000])
+            line.sock.sendall(answer[at : at + 1000])
         self.play("d expect after=2")
         marks = [mix(crc32(e["id"].encode()), 2) & 0xFFFF for e in entries(self.where)]
         words = [(mark << 5 | 1).to_bytes(3, "big") for mark in marks]
         for at in range(0, MANY, 85):
-            self.peer.sendto(b"\x81" + b"".join(words[at:at + 85]), self.told_at())
+            self.peer.sendto(b"\x81" + b"".join(words[at : at + 85]), self.told_at())
         for n in range(20):
             self.play(f"""
                 c send job a{n} quote
--- a/tests/test_snapshots.py
+++ b/tests/test_snapshots.py
@@ -27,7 +27,7 @@
 
 UNDER = digest({"a": frozenset("xyz")})
 SMALL = Memory(5, 6, {"pace": 0.5}, {0: 2.0}, {1: 0.5}, [Bucket(None, 1.0)], 1.0, {"s": Box(0)}, ["id"])
-LIMITS = "[limits]\nlinger_ms = 10\nkeep_asking_ms = 20\nkeep_idle_ms = 30\n[restart]\nsnapshot = \"{}\"\n"
+LIMITS = '[limits]\nlinger_ms = 10\nkeep_asking_ms = 20\nkeep_idle_ms = 30\n[restart]\nsnapshot = "{}"\n'
 WRITER = """
 import os, sys
 from violetsaddle.store import snapshots
@@ -44,18 +44,25 @@
 class Snapshots(unittest.TestCase):
     def test_round_trip_and_digest(self) -> None:
         self.assertEqual(decode(encode(SMALL, UNDER), UNDER), SMALL)
-        code = ("from violetsaddle.store.snapshots import digest\n"
-                "print(digest({'a': frozenset('xyz')}).hex())")
+        code = "from violetsaddle.store.snapshots import digest\nprint(digest({'a': frozenset('xyz')}).hex())"
         for seed in ("1", "2"):
-            out = subprocess.run([sys.executable, "-c", code], capture_output=True, text=True, check=True,
-                                 env={**os.environ, "PYTHONHASHSEED": seed}).stdout
+            out = subprocess.run(
+                [sys.executable, "-c", code],
+                capture_output=True,
+                text=True,
+                check=True,
+                env={**os.environ, "PYTHONHASHSEED": seed},
+            ).stdout
             self.assertEqual(out.strip(), UNDER.hex())
 
     def test_damage_at_every_byte(self) -> None:
         data = encode(SMALL, UNDER)
         for at in range(len(data)):
-            for bad in (data[:at], data[:at] + bytes((data[at] ^ 1 << at % 8,)) + data[at + 1:],
-                        data[:at] + b"\0" + data[at:]):
+            for bad in (
+                data[:at],
+                data[:at] + bytes((data[at] ^ 1 << at % 8,)) + data[at + 1 :],
+                data[:at] + b"\0" + data[at:],
+            ):
                 with self.assertRaises(Damaged) as caught:
                     decode(bad, UNDER)
                 self.assertTrue(str(caught.exception).isprintable())
@@ -69,15 +76,16 @@
 
     def test_what_does_not_fit_is_left_out(self) -> None:
         ids = [f"id-{n}" for n in range(2000)]
-        large = Memory(1, boxes={f"s-{n}": Box(0) for n in range(500)}, ids=ids,
-                       listing={"servers": "x" * 9000})
+        large = Memory(
+            1, boxes={f"s-{n}": Box(0) for n in range(500)}, ids=ids, listing={"servers": "x" * 9000}
+        )
         kept = decode(encode(large, UNDER, len(encode(large, UNDER)) - 4000), UNDER)
         self.assertTrue(100 < len(kept.boxes) < 490 and kept.listing and kept.ids == ids)
         for most in (1 << 20, 40_000, 30_000, 20_000, 2_000, 300):
             data = encode(large, UNDER, most)
             kept = decode(data, UNDER)
             self.assertLessEqual(len(data), most)
-            self.assertEqual(kept.ids, ids[len(ids) - len(kept.ids):])
+            self.assertEqual(kept.ids, ids[len(ids) - len(kept.ids) :])
         self.assertLess(len(kept.ids), 100)
 
     def test_faults_at_each_step(self) -> None:
@@ -151,13 +159,35 @@
 
     def make(self) -> Node:
         settings = Settings((RequestClass(1, 1),))
-        config = Config("n1", ("127.0.0.1", 0), ("127.0.0.1", 9), 1, 100, None, settings, {}, "a", (), None,
-                        (), None, (), ())
+        config = Config(
+            "n1",
+            ("127.0.0.1", 0),
+            ("127.0.0.1", 9),
+            1,
+            100,
+            None,
+            settings,
+            {},
+            "a",
+            (),
+            None,
+            (),
+            None,
+            (),
+            (),
+        )
         told = Restart(snapshot="x", snapshot_every_s=1.0)
-        clock = mock.Mock(monotonic=lambda: int(self.reactor.seconds() * 1e6),
-                          unix=lambda: 10**15 + int(self.reactor.seconds() * 1e6))
-        node = Node(self.reactor, config, lambda: config, clock=clock,
-                    keep=lambda node: Warmth(node, told, self.disk, self.disk.run))
+        clock = mock.Mock(
+            monotonic=lambda: int(self.reactor.seconds() * 1e6),
+            unix=lambda: 10**15 + int(self.reactor.seconds() * 1e6),
+        )
+        node = Node(
+            self.reactor,
+            config,
+            lambda: config,
+            clock=clock,
+            keep=lambda node: Warmth(node, told, self.disk, self.disk.run),
+        )
         said: Any = self.lines.append
         node.counters.say = said  # type: ignore[method-assign]
         assert node.keeper is not None
@@ -176,8 +206,13 @@
             self.later(1)
         self.disk.finish()
         said = [line for line in self.lines if "written" in line]
-        self.assertEqual(said, ["snapshot: can't be written: No space left on device (tried again each 1 s)",
-                                "snapshot: written again"])
+        self.assertEqual(
+            said,
+            [
+                "snapshot: can't be written: No space left on device (tried again each 1 s)",
+                "snapshot: written again",
+            ],
+        )
         self.assertEqual(self.node.counters.get("snapshots_failed"), 3)
 
     def test_the_end_waits_for_the_last_write(self) -> None:
--- a/tests/test_start.py
+++ b/tests/test_start.py
@@ -44,16 +44,27 @@
             self.port = one.getsockname()[1]
 
     def launch(self, held: bool = False, **changes: Any) -> subprocess.Popen[str]:
-        config = {"name": "n0", "listen": f"127.0.0.1:{self.port}", "discovery": "127.0.0.1:9", "seed": "1",
-                  "settings": SETTINGS, **changes}
+        config = {
+            "name": "n0",
+            "listen": f"127.0.0.1:{self.port}",
+            "discovery": "127.0.0.1:9",
+            "seed": "1",
+            "settings": SETTINGS,
+            **changes,
+        }
         (self.folder / "config.json").write_text(json.dumps(config))
         env = {**os.environ, "RELAY_CONFIG": str(self.folder / "config.json"), "PYTHONPATH": str(ROOT)}
         env.pop("RELAY_LISTEN", None)
         if held:
             os.mkfifo(self.pipe)
             env.update(PYTHONPATH=f"{self.folder}:{ROOT}", HELD_BY=str(self.pipe))
-        node = subprocess.Popen([sys.executable, "-m", "violetsaddle"], env=env, stdout=subprocess.DEVNULL,
-                                stderr=subprocess.PIPE, text=True)
+        node = subprocess.Popen(
+            [sys.executable, "-m", "violetsaddle"],
+            env=env,
+            stdout=subprocess.DEVNULL,
+            stderr=subprocess.PIPE,
+            text=True,
+        )
         self.addCleanup(node.communicate)
         self.addCleanup(node.kill)
         return node
@@ -89,8 +100,9 @@
         client = self.connect()
         with open(self.pipe, "w"):
             pass
-        self.assertEqual(node.communicate(timeout=LONG)[1],
-                         "violetsaddle: seed: must be hexadecimal, not 'no number'\n")
+        self.assertEqual(
+            node.communicate(timeout=LONG)[1], "violetsaddle: seed: must be hexadecimal, not 'no number'\n"
+        )
         self.assertEqual(node.returncode, 2)
         self.assertRaises(ConnectionResetError, client.recv, 64)
 
@@ -146,15 +158,21 @@
 
 class Lean(unittest.TestCase):
     def run_program(self, text: str) -> str:
-        done = subprocess.run([sys.executable, "-W", "ignore", "-c", textwrap.dedent(text)], cwd=ROOT,
-                              capture_output=True, text=True, timeout=60)
+        done = subprocess.run(
+            [sys.executable, "-W", "ignore", "-c", textwrap.dedent(text)],
+            cwd=ROOT,
+            capture_output=True,
+            text=True,
+            timeout=60,
+        )
         return done.stderr
 
     def test_nothing_unused_is_imported_and_all_of_it_can_be_later(self) -> None:
         self.assertEqual(self.run_program(LEAN), "")
 
     def test_a_name_that_is_not_foreseen_comes_from_the_real_module(self) -> None:
-        self.assertEqual(self.run_program("""
+        self.assertEqual(
+            self.run_program("""
             import sys
             from violetsaddle.net import lean
             del lean.NAMES["asyncio"]["AbstractEventLoop"], lean.NAMES["html"]["escape"]
@@ -163,16 +181,21 @@
             from twisted.internet import defer
             from twisted.python import compat
             assert defer.AbstractEventLoop is asyncio.AbstractEventLoop and compat.escape is html.escape
-        """), "")
+        """),
+            "",
+        )
 
     def test_where_twisted_is_there_nothing_happens(self) -> None:
-        self.assertEqual(self.run_program("""
+        self.assertEqual(
+            self.run_program("""
             import asyncio
             from twisted.internet import defer
             from violetsaddle.net import lean
             lean.load()
             assert defer.Future is asyncio.Future
-        """), "")
+        """),
+            "",
+        )
 
 
 class Build(unittest.TestCase):
@@ -195,6 +218,12 @@
             file.write_text("print(2)\n")
             os.utime(file, ns=(before.st_atime_ns, before.st_mtime_ns))
             env = {**os.environ, "PYTHONDONTWRITEBYTECODE": "1", "PYTHONPATH": str(tree)}
-            said = subprocess.run([sys.executable, "-c", "import violetsaddle.net.one"], env=env, cwd=tree,
-                                  capture_output=True, text=True, check=True).stdout
+            said = subprocess.run(
+                [sys.executable, "-c", "import violetsaddle.net.one"],
+                env=env,
+                cwd=tree,
+                capture_output=True,
+                text=True,
+                check=True,
+            ).stdout
             self.assertEqual(said, "2\n")
--- a/tests/test_tally.py
+++ b/tests/test_tally.py
@@ -20,8 +20,9 @@
 @pytest.mark.parametrize("cause", ["stale", "crowded", "blind", "cold", "abroad"])
 def test_a_late_start_is_counted_once_by_what_could_be_seen(cause: str) -> None:
     balancer, _ = make(zones=2, zone=1, schedulers=3, may_tell=True, cold_from=0.2, cold_for=9 * SECOND)
-    balancer.members(0, "snapshot", [Entry(1, zone=int(cause != "abroad"),
-                                           started=SECOND // 2 if cause == "cold" else 0)])
+    balancer.members(
+        0, "snapshot", [Entry(1, zone=int(cause != "abroad"), started=SECOND // 2 if cause == "cold" else 0)]
+    )
     balancer.peers[1] = 0
     balancer.crowd, balancer.fleet.most_free[0] = (0.9 if cause == "crowded" else 0.1), 1.0
     balancer.workers[1].near = cause != "blind"
--- a/tests/test_told.py
+++ b/tests/test_told.py
@@ -31,10 +31,12 @@
 
     def __init__(self, nodes: int, asks: bool, seed: int) -> None:
         quote = RequestClass(aim=200 * MS, deadline=5 * SECOND)
-        self.net = net = Net(Settings(classes=(quote,), must_ask=asks, schedulers=nodes, me=seed % nodes,
-                                      may_tell=True), seed)
-        self.discovery = Discovery(net, net.limits, net.deadlines, net.counters, net.flows, net.servers, AT,
-                                   ("z",), ("k",), net)
+        self.net = net = Net(
+            Settings(classes=(quote,), must_ask=asks, schedulers=nodes, me=seed % nodes, may_tell=True), seed
+        )
+        self.discovery = Discovery(
+            net, net.limits, net.deadlines, net.counters, net.flows, net.servers, AT, ("z",), ("k",), net
+        )
         net.flows.watcher = self.discovery
         self.seen = 0  # wires
         if not asks:
@@ -43,7 +45,7 @@
     def call(self) -> Wire:
         """Runs the clock to the next call, which may be on a new connection or the one before."""
         while True:
-            for wire in self.net.wires[self.seen:]:
+            for wire in self.net.wires[self.seen :]:
                 if not wire.over:
                     self.seen = len(self.net.wires)
                     return wire
--- a/tests/test_upgrade.py
+++ b/tests/test_upgrade.py
@@ -73,14 +73,18 @@
 class Clients(Upgrades):
     def test_clients_in_every_state_lose_nothing(self) -> None:
         self.begin()
-        self.play(serves("idle", "a") + serves("half", "b") + """
+        self.play(
+            serves("idle", "a")
+            + serves("half", "b")
+            + """
             waiting send job c settle
             s expect ~X-Txn: c
             s send 202
             new send GET /up
             new expect 200
             half send RAW POST /api HTTP/1.1 | Host: n | X-Txn: d | X-Lane: quote | X-Org: acme
-        """)
+        """
+        )
         silent = self.line("silent")
         time.sleep(0.1)  # until it is accepted
         self.play(UPGRADE)
@@ -120,7 +124,6 @@
             next expect exit 0
         """)
 
-
     def test_one_that_the_kernel_took_and_no_process_is_served_by_the_successor(self) -> None:
         self.begin(stepped="new go-in-ready 1 stop")
         self.play("node send USR2\nnode expect is to follow")
@@ -140,11 +143,14 @@
 
     def test_ids_of_either_process_are_refused_by_the_other(self) -> None:
         self.begin()
-        self.play(serves("c", "was") + """
+        self.play(
+            serves("c", "was")
+            + """
             c1 send job open settle
             s expect ~X-Txn: open
             s send 202
-        """)
+        """
+        )
         self.line("kept")
         time.sleep(0.1)
         self.play("node send USR2\nnode expect drains")
@@ -175,42 +181,54 @@
             s expect X-Txn: a
             s send 202
         """)
-        self.play(UPGRADE + """
+        self.play(
+            UPGRADE
+            + """
             s call+ none done result=x
             s call+ a done result=x
             node expect exit -9
             next send TERM
             node expect counters | callbacks_passed_on=2 | callbacks_unmatched=1
-        """)
-
+        """
+        )
 
     def test_a_callback_while_the_old_process_says_nothing_is_called_again(self) -> None:
         self.begin()
-        self.play("""
+        self.play(
+            """
             c send job a settle
             s expect X-Txn: a
             s send 202
-        """ + UPGRADE + "node send STOP")
-        self.play("""
+        """
+            + UPGRADE
+            + "node send STOP"
+        )
+        self.play(
+            """
             k send POST /callback | | {"id":"a","from":"NAME","state":"done","result":"x"}
             k expect 503
             node send CONT
             s call+ a done result=y
             c expect 200 | x
             node expect exit 0
-        """.replace("NAME", self.took["a"].name))
+        """.replace("NAME", self.took["a"].name)
+        )
 
     def test_the_old_process_ends_in_time_whatever_is_open(self) -> None:
         self.begin("upgrade_drain_s = 0.3")
-        self.play("""
+        self.play(
+            """
             c send job a settle
             s expect X-Txn: a
             s send 202
-        """ + UPGRADE + """
+        """
+            + UPGRADE
+            + """
             node expect drained for 0.3 s, 1 flows are cut
             node expect exit 0
             c wait
-        """)
+        """
+        )
 
     def test_the_list_and_where_discovery_is_go_with_it(self) -> None:
         self.begin(settings={"discovery": "ask"}, version=7)
@@ -232,7 +250,9 @@
         self.begin(settings={"siblings": 2, "permissions": {"mayTell": True}})
         long = "00" * 300
         self.play(f"p send {long}\np expect .")
-        self.play(UPGRADE + f"""
+        self.play(
+            UPGRADE
+            + f"""
             p send {long}
             p send {long}
             node expect counters | bad_datagrams=1 | told=
@@ -240,16 +260,21 @@
             p expect .
             next send USR1
             node expect counters | bad_datagrams=2 | told=
-        """)
+        """
+        )
 
 
 class Failures(Upgrades):
     def fails(self, *lines: str) -> None:
         """The old process says so, counts it and serves on, and may be upgraded again."""
-        self.play("".join(f"node expect {line}\n" for line in lines) + serves("c", "z") + """
+        self.play(
+            "".join(f"node expect {line}\n" for line in lines)
+            + serves("c", "z")
+            + """
             node send USR1
             node expect counters | upgrades=1 | upgrades_failed=1
-        """)
+        """
+        )
 
     def test_a_successor_that_can_not_start(self) -> None:
         self.begin()
@@ -261,11 +286,13 @@
         self.play(UPGRADE + "node expect exit 0\n" + serves("c1", "y"))
 
     def test_one_that_breaks_off(self) -> None:
-        for point, what, line in (("started", "exit", "ended with status 3"),
-                                  ("said-ready", "kill", "ended by signal 9"),
-                                  ("said-hello", "babble", "ended by signal 9"),
-                                  ("go-in-ready", "kill", "ended by signal 9"),
-                                  ("said-serves", "kill", "ended by signal 9")):
+        for point, what, line in (
+            ("started", "exit", "ended with status 3"),
+            ("said-ready", "kill", "ended by signal 9"),
+            ("said-hello", "babble", "ended by signal 9"),
+            ("go-in-ready", "kill", "ended by signal 9"),
+            ("said-serves", "kill", "ended by signal 9"),
+        ):
             with self.subTest(point):
                 self.begin(stepped=f"new {point} 1 {what}")
                 self.play("node send USR2")
@@ -301,8 +328,11 @@
         held = len(os.listdir(f"/proc/{self.program.pid}/fd"))
         before = resource.prlimit(self.program.pid, resource.RLIMIT_NOFILE, (held, held + 99))
         self.play("node send USR2\nnode expect upgrade failed: the successor can't be started")
-        resource.prlimit(self.program.pid, resource.RLIMIT_NOFILE, (before[0], held + 99)
-                         if before[0] < held + 99 else (held + 99, held + 99))
+        resource.prlimit(
+            self.program.pid,
+            resource.RLIMIT_NOFILE,
+            (before[0], held + 99) if before[0] < held + 99 else (held + 99, held + 99),
+        )
         self.fails()
 
     def test_an_upgrade_during_an_upgrade(self) -> None:
@@ -328,32 +358,42 @@
 
     def test_sigterm_after_go(self) -> None:
         self.begin()
-        self.play("""
+        self.play(
+            """
             c send job a settle
             s expect X-Txn: a
             s send 202
-        """ + UPGRADE + """
+        """
+            + UPGRADE
+            + """
             node send TERM
             node expect stopping
             of-a call+ a done result=x
             c expect 200
             node expect exit 0
-        """ + serves("c1", "b"))
+        """
+            + serves("c1", "b")
+        )
 
     def test_sigterm_to_the_successor_is_the_end_of_both(self) -> None:
         self.begin()
-        self.play("""
+        self.play(
+            """
             c send job a settle
             s expect X-Txn: a
             s send 202
-        """ + UPGRADE + serves("c1", "b") + """
+        """
+            + UPGRADE
+            + serves("c1", "b")
+            + """
             next send TERM
             node expect stopping
             of-a call+ a done result=x
             c expect 200 | x
             node expect exit 0
             next expect exit 0
-        """)
+        """
+        )
 
     def test_without_the_key_the_signal_is_passed_over(self) -> None:
         self.start()
@@ -381,12 +421,15 @@
             self.assertEqual(self.ask("1234567", "--pid-file", str(pid))[0], 1)
             self.play("next send TERM\nnext expect exit 0")
             self.assertFalse(pid.exists())
-            self.assertEqual(self.ask("--pid-file", str(pid)),
-                             (1, f"violetsaddle: {pid}: names no process\n"))
+            self.assertEqual(
+                self.ask("--pid-file", str(pid)), (1, f"violetsaddle: {pid}: names no process\n")
+            )
 
     def test_a_supervisor_is_told_which_process_serves(self) -> None:
-        with tempfile.TemporaryDirectory() as folder, socket.socket(
-                socket.AF_UNIX, socket.SOCK_DGRAM) as supervisor:
+        with (
+            tempfile.TemporaryDirectory() as folder,
+            socket.socket(socket.AF_UNIX, socket.SOCK_DGRAM) as supervisor,
+        ):
             supervisor.bind(folder + "/notify")
             supervisor.settimeout(PATIENCE)
             self.told = {"NOTIFY_SOCKET": folder + "/notify"}
