--- a/violetsaddle/lab/sim/reactor.py
+++ b/violetsaddle/lab/sim/reactor.py
@@ -28,8 +28,14 @@
 
     __slots__ = ("_reactor", "_func", "_args", "_named", "_cancelled")
 
-    def __init__(self, reactor: SimReactor, at: int, func: Callable[..., object], args: tuple[Any, ...],
-                 named: dict[str, Any]) -> None:
+    def __init__(
+        self,
+        reactor: SimReactor,
+        at: int,
+        func: Callable[..., object],
+        args: tuple[Any, ...],
+        named: dict[str, Any],
+    ) -> None:
         self._reactor, self._func, self._args, self._named = reactor, func, args, named
         self._cancelled = False
         reactor.timers += 1
@@ -82,8 +88,15 @@
 class Connector:
     """Brings up one connection, as Twisted's connectors do."""
 
-    def __init__(self, reactor: SimReactor, remote: Address, factory: Any, timeout: float | None,
-                 host: Host, here: Address) -> None:
+    def __init__(
+        self,
+        reactor: SimReactor,
+        remote: Address,
+        factory: Any,
+        timeout: float | None,
+        host: Host,
+        here: Address,
+    ) -> None:
         self._reactor, self._remote, self.factory, self._timeout = reactor, remote, factory, timeout
         self._host, self._here = host, here
         self.state = "disconnected"
@@ -269,7 +282,7 @@
     def heard(self, data: bytes, source: Address) -> None:
         reactor = self._reactor
         if not reactor.paused:
-            reactor.enter(self.protocol.datagramReceived, data[:self._most], source)
+            reactor.enter(self.protocol.datagramReceived, data[: self._most], source)
         elif self._held < HELD:  # the kernel drops the rest
             self._held += 1
             reactor.put_off(self._heard_late, data, source)
@@ -354,16 +367,18 @@
         factory.doStart()
         return made
 
-    def connectTCP(self, host: str, port: int, factory: Any, timeout: float | None = 30,
-                   bindAddress: Any = None) -> Connector:
+    def connectTCP(
+        self, host: str, port: int, factory: Any, timeout: float | None = 30, bindAddress: Any = None
+    ) -> Connector:
         here = bindAddress if isinstance(bindAddress, tuple) else (bindAddress or "", 0)
         home = self._home(here[0], here[1])
         made = Connector(self, (host, port), factory, timeout, home, (here[0] or home.address, here[1]))
         made.connect()
         return made
 
-    def listenUDP(self, port: int, protocol: Any, interface: str = "",
-                  maxPacketSize: int = 8192) -> DatagramPort:
+    def listenUDP(
+        self, port: int, protocol: Any, interface: str = "", maxPacketSize: int = 8192
+    ) -> DatagramPort:
         host = self._home(interface, port)
         at = (interface or host.address, port or host.port())
         if at in self.network.datagrams:
@@ -378,8 +393,9 @@
         self.soon.append(lambda: self.on_stop())  # the hook may be set yet
         self.rouse()
 
-    def addSystemEventTrigger(self, phase: str, event: str, callable: Callable[..., object], *args: Any,
-                              **kw: Any) -> None:
+    def addSystemEventTrigger(
+        self, phase: str, event: str, callable: Callable[..., object], *args: Any, **kw: Any
+    ) -> None:
         """Not played: a process here ends without events."""
 
     def removeSystemEventTrigger(self, trigger: Any) -> None:
--- a/violetsaddle/lab/sim/stage.py
+++ b/violetsaddle/lab/sim/stage.py
@@ -34,8 +34,13 @@
 SETTLE = 3 * SECOND  # until what went with the clients is tidied away
 FOREVER = 1 << 60
 BEFALLS: dict[str, Callable[[SimNode, Trouble], None]] = {
-    "restart": SimNode.restart, "kill": SimNode.kill, "pause": SimNode.pause, "clock": SimNode.freeze,
-    "hall": SimNode.vanish, "roster_move": SimNode.move}
+    "restart": SimNode.restart,
+    "kill": SimNode.kill,
+    "pause": SimNode.pause,
+    "clock": SimNode.freeze,
+    "hall": SimNode.vanish,
+    "roster_move": SimNode.move,
+}
 PLAIN = Options()
 
 
@@ -77,13 +82,19 @@
         self.ledger = Watched(self.loop, watch)
         self._places = SimPlaces()
         self.network = Network(self.loop, links.Links(day, chance(day.seed, "net")))
-        machines = [Host(self.network, f"n{n}", links.Place(hall, node=n), self._places.node(n)[0])
-                    for n, hall in enumerate(day.nodes)]
+        machines = [
+            Host(self.network, f"n{n}", links.Place(hall, node=n), self._places.node(n)[0])
+            for n, hall in enumerate(day.nodes)
+        ]
         for number, box in enumerate(day.boxes):
             Host(self.network, box.name, links.Place(box.hall, box=number), self._places.box(0, number)[0])
         moves = sum(t.kind == "roster_move" for t in day.troubles)
-        roster = Host(self.network, "roster", links.Place(links.ROSTER),
-                      *(self._places.roster(0, move)[0] for move in range(moves + 1)))
+        roster = Host(
+            self.network,
+            "roster",
+            links.Place(links.ROSTER),
+            *(self._places.roster(0, move)[0] for move in range(moves + 1)),
+        )
         crowd = Host(self.network, "clients", links.Place(links.CLIENTS), CLIENTS)
         agents = Host(self.network, "boxes", links.Place(links.ROSTER), BOXES)
 
@@ -93,13 +104,28 @@
         self._boxes, self._roster = boxes, told
         self._load: list[Party] = [CrowdParty(self._scene(reactor)), RudeParty(self._scene(reactor))]
         adjust, restart = self._operated()
-        ground = Ground(day, self.loop, self.ledger.add, deciders(day, boxes)[options.decider], self._config,
-                        told.life, adjust, restart)
+        ground = Ground(
+            day,
+            self.loop,
+            self.ledger.add,
+            deciders(day, boxes)[options.decider],
+            self._config,
+            told.life,
+            adjust,
+            restart,
+        )
         self.log, self._grace = ground.log, ground.grace
         self.nodes = [
-            SimNode(ground, n, host, NodeClock(
-                self.loop, int(chance(day.seed, "boot", n).integers(SECOND, 10**6 * SECOND)), UNIX0))
-            for n, host in enumerate(machines)]
+            SimNode(
+                ground,
+                n,
+                host,
+                NodeClock(
+                    self.loop, int(chance(day.seed, "boot", n).integers(SECOND, 10**6 * SECOND)), UNIX0
+                ),
+            )
+            for n, host in enumerate(machines)
+        ]
 
     def _scene(self, reactor: SimReactor) -> Scene:
         reactor.on_fault = self._failed
@@ -123,13 +149,22 @@
         env = merged(settings(day, node), self._options.settings)
         fields, told = given.read(env)
         return Config(
-            name=f"n{node}", listen=places.node(node), discovery=places.roster(node, move),
-            seed=int(chance(day.seed, "node", node, life).integers(1 << 63)), sockets=day.sockets,
-            peer_listen=places.peer(node), peers_all=None,
+            name=f"n{node}",
+            listen=places.node(node),
+            discovery=places.roster(node, move),
+            seed=int(chance(day.seed, "node", node, life).integers(1 << 63)),
+            sockets=day.sockets,
+            peer_listen=places.peer(node),
+            peers_all=None,
             peers=[places.peer(other) for other in range(len(day.nodes))],
-            known=listing(day, places, node, UNIX0), told=told, fields=fields,
-            classes=given.names(env, "requestClasses"), tenants=given.names(env, "tenants"),
-            zones=given.names(env, "failureDomains"), kinds=given.names(env, "kinds"))
+            known=listing(day, places, node, UNIX0),
+            told=told,
+            fields=fields,
+            classes=given.names(env, "requestClasses"),
+            tenants=given.names(env, "tenants"),
+            zones=given.names(env, "failureDomains"),
+            kinds=given.names(env, "kinds"),
+        )
 
     # What goes wrong with the stage itself, or is only seen in Twisted's log.
 
@@ -141,7 +176,8 @@
         if failure is None:
             return
         text = "caught by Twisted: " + "".join(
-            traceback.format_exception(failure.type, failure.value, failure.getTracebackObject()))
+            traceback.format_exception(failure.type, failure.value, failure.getTracebackObject())
+        )
         for node in self.nodes:
             if node.process is not None and node.process is self.network.running:
                 node.fault_text(text)
@@ -177,8 +213,9 @@
         self.ledger.add(Mark(self.loop.now, trouble.until, kind, troubles.text(trouble, day)))
         befalls = BEFALLS.get(kind)  # all others are the parties' or the links'
         for number, node in enumerate(self.nodes):
-            if befalls and (kind == "roster_move" or number in trouble.nodes
-                            or day.nodes[number] in trouble.halls):
+            if befalls and (
+                kind == "roster_move" or number in trouble.nodes or day.nodes[number] in trouble.halls
+            ):
                 befalls(node, trouble)
 
     def _finish(self) -> None:
@@ -205,8 +242,9 @@
     def outcome(self, wall: float) -> Outcome:
         peak = resource.getrusage(resource.RUSAGE_SELF).ru_maxrss / 1024
         counters = [node.counters() for node in self.nodes]
-        return Outcome(self.day, self.ledger.records, counters, self.log, wall, self.loop.events, peak,
-                       self._void)
+        return Outcome(
+            self.day, self.ledger.records, counters, self.log, wall, self.loop.events, peak, self._void
+        )
 
 
 class SimStage:
--- a/violetsaddle/lab/sim/stream.py
+++ b/violetsaddle/lab/sim/stream.py
@@ -121,12 +121,31 @@
 class Stream(Socket):
     """A connection's transport."""
 
-    __slots__ = ("reactor", "protocol", "connector", "connected", "disconnected", "disconnecting", "reading",
-                 "producer", "streaming", "producer_paused", "_out", "_size", "_dirty", "_aborting",
-                 "_half_closing", "_half_closed", "_noted", "_end_read", "__dict__")  # Twisted's have one
-
-    def __init__(self, reactor: Process, host: Host, here: Address, remote: Address,
-                 connector: Dialler | None = None) -> None:
+    __slots__ = (
+        "reactor",
+        "protocol",
+        "connector",
+        "connected",
+        "disconnected",
+        "disconnecting",
+        "reading",
+        "producer",
+        "streaming",
+        "producer_paused",
+        "_out",
+        "_size",
+        "_dirty",
+        "_aborting",
+        "_half_closing",
+        "_half_closed",
+        "_noted",
+        "_end_read",
+        "__dict__",
+    )  # Twisted's have one
+
+    def __init__(
+        self, reactor: Process, host: Host, here: Address, remote: Address, connector: Dialler | None = None
+    ) -> None:
         super().__init__(reactor.network, host, here, remote)
         self.reactor, self.connector = reactor, connector
         self.protocol: Any = None
--- a/violetsaddle/lab/soundness.py
+++ b/violetsaddle/lab/soundness.py
@@ -39,8 +39,12 @@
     """Days without end: every second one a storm, of the others each second one a city."""
     for number in count(1):
         turn, place = divmod(number - 1, len(REST))
-        for name, seed in (("storm", 2 * number - 1), ("city", number), ("storm", 2 * number),
-                           (REST[place], turn + 1)):
+        for name, seed in (
+            ("storm", 2 * number - 1),
+            ("city", number),
+            ("storm", 2 * number),
+            (REST[place], turn + 1),
+        ):
             yield Case(name, seed, seconds=SECONDS, tree=tree)
 
 
@@ -81,8 +85,13 @@
 
     bad = broken(islice(mixture(tree), days), processes, see)
     rows = [[name, count, count - told[name]] for name, count in asked.items()]
-    console.print(tables.grid("The program as it is", ["scenario", "days", "kept all rules"],
-                              [*rows, ["all", days, days - len(bad)]]))
+    console.print(
+        tables.grid(
+            "The program as it is",
+            ["scenario", "days", "kept all rules"],
+            [*rows, ["all", days, days - len(bad)]],
+        )
+    )
     return not bad
 
 
@@ -96,14 +105,26 @@
             fault = apply.plant(name, tree)
             found = hunted(pool, fault.rule, fault.scenario, tree, days)
         fine = fine and bool(found.seed)
-        rows.append([name, found.rule, fault.scenario, found.seed or None, found.days,
-                     ", ".join(found.first) or None])
-        console.print(f"{name}: " + (f"{found.rule} on day {found.seed} of {fault.scenario}" if found.seed
-                                     else f"no {found.rule} on {days} days of {fault.scenario}"),
-                      markup=False, highlight=False)
-    console.print(tables.grid(
-        "Planted faults", ["fault", "rule", "scenario", "seed", "days", "broken on the first bad day"],
-        rows))
+        rows.append(
+            [name, found.rule, fault.scenario, found.seed or None, found.days, ", ".join(found.first) or None]
+        )
+        console.print(
+            f"{name}: "
+            + (
+                f"{found.rule} on day {found.seed} of {fault.scenario}"
+                if found.seed
+                else f"no {found.rule} on {days} days of {fault.scenario}"
+            ),
+            markup=False,
+            highlight=False,
+        )
+    console.print(
+        tables.grid(
+            "Planted faults",
+            ["fault", "rule", "scenario", "seed", "days", "broken on the first bad day"],
+            rows,
+        )
+    )
     return fine
 
 
--- a/violetsaddle/lab/story.py
+++ b/violetsaddle/lab/story.py
@@ -32,10 +32,17 @@
     item = book.items.get(one.item)
     if item is not None:
         spec = day.classes[item.cls]
-        lines.append(f"item {item.number}: {spec.name} ({spec.effect}), {day.tenants[item.tenant].name}, "
-                     f"hall {day.halls[item.hall]}, work {_ms(item.work)}, wanted at {_ms(item.at)}")
-    return lines + _lines(book, {each.txn for each in tries}, {run.number for run in runs},
-                          {each.node for each in tries if each.node >= 0}, {run.box for run in runs})
+        lines.append(
+            f"item {item.number}: {spec.name} ({spec.effect}), {day.tenants[item.tenant].name}, "
+            f"hall {day.halls[item.hall]}, work {_ms(item.work)}, wanted at {_ms(item.at)}"
+        )
+    return lines + _lines(
+        book,
+        {each.txn for each in tries},
+        {run.number for run in runs},
+        {each.node for each in tries if each.node >= 0},
+        {run.box for run in runs},
+    )
 
 
 def around(book: Book, node: int, box: int, until: int) -> list[str]:
@@ -55,8 +62,9 @@
     return lines
 
 
-def _lines(book: Book, txns: set[str], runs: set[int], nodes: set[int], boxes: set[int],
-           until: int = -1) -> list[str]:
+def _lines(
+    book: Book, txns: set[str], runs: set[int], nodes: set[int], boxes: set[int], until: int = -1
+) -> list[str]:
     own: list[Record] = []
     around: list[Record] = []
     told: dict[tuple[int, int], tuple[str, int]] = {}
@@ -64,8 +72,9 @@
         if isinstance(r, (rec.Sent, rec.Unreached, rec.Answer, rec.Lost, rec.Gone, rec.GaveUp, rec.Came)):
             if r.txn in txns:
                 own.append(r)
-        elif isinstance(r, (rec.TurnedAway, rec.Took, rec.Began, rec.Effect, rec.Ended, rec.GivenUp,
-                            rec.Called)):
+        elif isinstance(
+            r, (rec.TurnedAway, rec.Took, rec.Began, rec.Effect, rec.Ended, rec.GivenUp, rec.Called)
+        ):
             if r.run in runs:
                 own.append(r)
         elif isinstance(r, rec.Told):
@@ -73,8 +82,11 @@
             if r.node in nodes and r.box in boxes and told.get((r.node, r.box)) != (r.state, r.started):
                 told[r.node, r.box] = (r.state, r.started)
                 around.append(r)
-        elif (isinstance(r, rec.NodeLife) and r.node in nodes) or (
-                isinstance(r, rec.BoxLife) and r.box in boxes) or isinstance(r, rec.Mark):
+        elif (
+            (isinstance(r, rec.NodeLife) and r.node in nodes)
+            or (isinstance(r, rec.BoxLife) and r.box in boxes)
+            or isinstance(r, rec.Mark)
+        ):
             around.append(r)
     last = own[-1].at if own else until
     kept = own + [r for r in around if r.at <= last]
@@ -99,19 +111,24 @@
         case rec.GaveUp():
             text = f"n{r.node}: the module says {r.how} for {r.txn}"
         case rec.Came():
-            text = (f"box {day.boxes[r.box].name} (life {r.life}): run {r.run} of {r.txn} from n{r.node} "
-                    f"is whole, its first byte came at {r.first_at / 1000:.3f}"
-                    + ("" if r.body_same else ", ALTERED"))
+            text = (
+                f"box {day.boxes[r.box].name} (life {r.life}): run {r.run} of {r.txn} from n{r.node} "
+                f"is whole, its first byte came at {r.first_at / 1000:.3f}"
+                + ("" if r.body_same else ", ALTERED")
+            )
         case rec.Told():
             told = "counts as told" if r.counted else "is told"
-            text = (f"roster: n{r.node} (life {r.node_life}) {told} that {day.boxes[r.box].name} is "
-                    f"{r.state}, started {r.started / 1000:.3f}")
+            text = (
+                f"roster: n{r.node} (life {r.node_life}) {told} that {day.boxes[r.box].name} is "
+                f"{r.state}, started {r.started / 1000:.3f}"
+            )
         case rec.NodeLife():
             text = f"n{r.node} (life {r.life}): {r.what}" + (f", status {r.code}" if r.code else "")
         case rec.BoxLife():
             by = ", ".join(f"n{node} {work / 1000:.1f} ms" for node, work in r.by)
-            text = (f"box {day.boxes[r.box].name} (life {r.life}): {r.what}"
-                    + (f", work by {by}" if by else ""))
+            text = f"box {day.boxes[r.box].name} (life {r.life}): {r.what}" + (
+                f", work by {by}" if by else ""
+            )
         case rec.Mark():
             text = f"trouble until {r.until / 1000:.3f}: {r.text or r.kind}"
         case _:
--- a/violetsaddle/lab/tables.py
+++ b/violetsaddle/lab/tables.py
@@ -16,8 +16,19 @@
 from violetsaddle.lab.result import Played, Result
 from violetsaddle.lab.sweep import Point, mean
 
-HEAD = ("goodput", "whole", "window", "against.score", "against.lost", "worth.late", "worth.refused",
-        "worth.failed", "latency.all.p50_ms", "latency.all.p99_ms", BROKEN)
+HEAD = (
+    "goodput",
+    "whole",
+    "window",
+    "against.score",
+    "against.lost",
+    "worth.late",
+    "worth.refused",
+    "worth.failed",
+    "latency.all.p50_ms",
+    "latency.all.p99_ms",
+    BROKEN,
+)
 
 MOST_COLUMNS = 6
 
@@ -48,13 +59,19 @@
     one = played.result
     every = {one.decider: one.figures, **one.yardsticks}
     plain = [key for key, value in one.figures.items() if not isinstance(value, (dict, list))]
-    rows: list[list[Any]] = [[key.replace("_", " "), *(each.get(key) for each in every.values())]
-                             for key in plain]
+    rows: list[list[Any]] = [
+        [key.replace("_", " "), *(each.get(key) for each in every.values())] for key in plain
+    ]
     found = [grid(title(one), ["", *every], rows)]
     simple = {key: value for key, value in one.against.items() if not isinstance(value, (dict, list))}
     if simple:
-        found.append(grid("against the yardsticks", ["", ""],
-                          ([key.replace("_", " "), value] for key, value in simple.items())))
+        found.append(
+            grid(
+                "against the yardsticks",
+                ["", ""],
+                ([key.replace("_", " "), value] for key, value in simple.items()),
+            )
+        )
     found += _nested(one.figures)
     return found
 
@@ -71,16 +88,26 @@
             found.append(grid(key.replace("_", " "), list(rows), [list(rows.values())]))
             continue
         names = [name for name in next(iter(rows.values())) if name != "name"]
-        names = [name for name in names
-                 if not any(isinstance(row.get(name), (dict, list)) for row in rows.values())]
-        found.append(grid(key.replace("_", " "), ["", *(name.replace("_", " ") for name in names)],
-                          ([name, *(row.get(each) for each in names)] for name, row in rows.items())))
+        names = [
+            name
+            for name in names
+            if not any(isinstance(row.get(name), (dict, list)) for row in rows.values())
+        ]
+        found.append(
+            grid(
+                key.replace("_", " "),
+                ["", *(name.replace("_", " ") for name in names)],
+                ([name, *(row.get(each) for each in names)] for name, row in rows.items()),
+            )
+        )
     return found
 
 
 def title(one: Result) -> str:
-    return (f"{one.scenario or 'a day'}, seed {one.seed}, on {one.stage}: {one.nodes} nodes, "
-            f"{one.boxes} boxes, {one.rate:.4g} jobs a second, {one.length / 1e6:g} s")
+    return (
+        f"{one.scenario or 'a day'}, seed {one.seed}, on {one.stage}: {one.nodes} nodes, "
+        f"{one.boxes} boxes, {one.rate:.4g} jobs a second, {one.length / 1e6:g} s"
+    )
 
 
 def cost(played: Played) -> str:
@@ -102,8 +129,17 @@
     """Figures of both sides; a star marks a difference whose interval leaves out 0."""
     by_name = {one.name: one for one in found}
     chosen = [by_name[name] for name in wanted(by_name, patterns or HEAD)]
-    rows = [[one.name, one.a, one.b, one.difference, f"{number(one.low)} .. {number(one.high)}",
-             "*" if one.clear else ""] for one in chosen]
+    rows = [
+        [
+            one.name,
+            one.a,
+            one.b,
+            one.difference,
+            f"{number(one.low)} .. {number(one.high)}",
+            "*" if one.clear else "",
+        ]
+        for one in chosen
+    ]
     pairs = max((one.pairs for one in found), default=0)
     return grid(f"{pairs} pairs of days", ["", "A", "B", "B - A", "95 % interval", ""], rows)
 
@@ -113,22 +149,32 @@
     every: dict[tuple[tuple[str, str], ...], list[Played]] = {}
     for point, played in results:
         every.setdefault(point.values, []).append(played)
-    names = wanted(dict.fromkeys(name for _, played in results for name in comparable(played.result)),
-                   patterns or HEAD)
+    names = wanted(
+        dict.fromkeys(name for _, played in results for name in comparable(played.result)), patterns or HEAD
+    )
     columns = [_column(values, days, names) for values, days in every.items()]
     heads = ["days that count", *names, "wall s", "peak MB", "events/s"]
-    return [grid("means over days" if not first else "", ["", *(head for head, _ in some)],
-                 ([head, *(cells[row] for _, cells in some)] for row, head in enumerate(heads)))
-            for first in range(0, len(columns), MOST_COLUMNS)
-            for some in [columns[first:first + MOST_COLUMNS]]]
-
-
-def _column(values: Sequence[tuple[str, str]], days: Sequence[Played],
-            names: Sequence[str]) -> tuple[str, list[Any]]:
+    return [
+        grid(
+            "means over days" if not first else "",
+            ["", *(head for head, _ in some)],
+            ([head, *(cells[row] for _, cells in some)] for row, head in enumerate(heads)),
+        )
+        for first in range(0, len(columns), MOST_COLUMNS)
+        for some in [columns[first : first + MOST_COLUMNS]]
+    ]
+
+
+def _column(
+    values: Sequence[tuple[str, str]], days: Sequence[Played], names: Sequence[str]
+) -> tuple[str, list[Any]]:
     good = [played for played in days if played.result.valid]
     sums = [comparable(played.result) for played in good]
     speeds = [played.result.events / played.cost.wall for played in good if played.cost.wall > 0]
     return "\n".join(f"{key}={value}" for key, value in values), [
-        f"{len(good)}/{len(days)}", *(mean([one[name] for one in sums if name in one]) for name in names),
-        mean([played.cost.wall for played in good]), max((p.cost.peak for p in good), default=math.nan),
-        mean(speeds)]
+        f"{len(good)}/{len(days)}",
+        *(mean([one[name] for one in sums if name in one]) for name in names),
+        mean([played.cost.wall for played in good]),
+        max((p.cost.peak for p in good), default=math.nan),
+        mean(speeds),
+    ]
--- a/violetsaddle/lab/wire.py
+++ b/violetsaddle/lab/wire.py
@@ -8,8 +8,15 @@
 
 END = b"\r\n\r\n"
 MOST_HEAD = 64 * 1024
-REASONS = {200: "OK", 202: "Accepted", 204: "No Content", 400: "Bad Request", 404: "Not Found",
-           500: "Internal Server Error", 503: "Service Unavailable"}
+REASONS = {
+    200: "OK",
+    202: "Accepted",
+    204: "No Content",
+    400: "Bad Request",
+    404: "Not Found",
+    500: "Internal Server Error",
+    503: "Service Unavailable",
+}
 
 
 class Garbled(Exception):
@@ -55,7 +62,7 @@
                     if len(self._held) > MOST_HEAD:
                         raise Garbled("a head without end")
                     return messages
-                self._head, self._held = self._parse(self._held[:end]), self._held[end + 4:]
+                self._head, self._held = self._parse(self._held[:end]), self._held[end + 4 :]
             first, headers, length = self._head
             if len(self._held) < length:
                 return messages
@@ -84,8 +91,9 @@
         return (words[0], words[1], words[2]), headers, int(text)
 
 
-def request(method: str, target: str, host: str, headers: Mapping[str, str] | None = None,
-            body: bytes = b"") -> bytes:
+def request(
+    method: str, target: str, host: str, headers: Mapping[str, str] | None = None, body: bytes = b""
+) -> bytes:
     """A whole request; a length is written where there is a body or the method is POST."""
     rows = [f"{method} {target} HTTP/1.1", f"Host: {host}"]
     rows += [f"{name}: {value}" for name, value in (headers or {}).items()]
@@ -96,8 +104,10 @@
 
 def answer(status: int, headers: Mapping[str, str] | None = None, body: bytes = b"") -> bytes:
     """A whole answer."""
-    rows = [f"HTTP/1.1 {status} {REASONS.get(status, 'Unknown')}",
-            *(f"{k}: {v}" for k, v in (headers or {}).items())]
+    rows = [
+        f"HTTP/1.1 {status} {REASONS.get(status, 'Unknown')}",
+        *(f"{k}: {v}" for k, v in (headers or {}).items()),
+    ]
     if status != 204:
         rows.append(f"Content-Length: {len(body)}")
     return "\r\n".join(rows).encode("latin-1") + END + body
--- a/violetsaddle/lab/yardsticks.py
+++ b/violetsaddle/lab/yardsticks.py
@@ -98,9 +98,14 @@
     def same_group(self, worker: Worker) -> bool:
         """Whether the worker drops what earlier attempts may have done."""
         group = self.spec.group
-        return self.spec.effect != api.KEYED or group == "all" or all(
-            getattr(worker.entry, group) == getattr(a.place, group) == getattr(a.worker.entry, group)
-            for a in self.risky)
+        return (
+            self.spec.effect != api.KEYED
+            or group == "all"
+            or all(
+                getattr(worker.entry, group) == getattr(a.place, group) == getattr(a.worker.entry, group)
+                for a in self.risky
+            )
+        )
 
 
 class Plain:
@@ -205,8 +210,17 @@
 
     # Requests.
 
-    def request(self, now: int, job: str, cls: int, remaining: int, tenant: int = 0, slots: float = 1.0,
-                key: int | None = None, hint: int = 0) -> None:
+    def request(
+        self,
+        now: int,
+        job: str,
+        cls: int,
+        remaining: int,
+        tenant: int = 0,
+        slots: float = 1.0,
+        key: int | None = None,
+        hint: int = 0,
+    ) -> None:
         request = Request(job, self.told.classes[cls], slots, now + remaining, hint)
         self.requests[job] = request
         self._earn(now, request)
@@ -261,8 +275,16 @@
         if request is not None and not request.over:
             self._end(request)
 
-    def answer(self, now: int, job: str, number: int, outcome: str, latency: int, over: bool,
-               report: api.Report | None) -> None:
+    def answer(
+        self,
+        now: int,
+        job: str,
+        number: int,
+        outcome: str,
+        latency: int,
+        over: bool,
+        report: api.Report | None,
+    ) -> None:
         request = self.requests.get(job)
         if request is None:
             return
@@ -424,8 +446,9 @@
                 return False
         return True
 
-    def wait(self, now: int, hall: int, box: int, work: int, slots: int,
-             most: int) -> tuple[int, bool] | None:
+    def wait(
+        self, now: int, hall: int, box: int, work: int, slots: int, most: int
+    ) -> tuple[int, bool] | None:
         """Microseconds until a job sent now would have its answer at the node, and whether it would wait at
         the box; None where it must not go there, or would take `most` or longer."""
         spec = self.day.boxes[box]
@@ -509,8 +532,16 @@
         if request.spec.effect != api.UNSAFE:
             self._out[request.id, attempt.number] = box, sight.truth.box(box).life
 
-    def answer(self, now: int, job: str, number: int, outcome: str, latency: int, over: bool,
-               report: api.Report | None) -> None:
+    def answer(
+        self,
+        now: int,
+        job: str,
+        number: int,
+        outcome: str,
+        latency: int,
+        over: bool,
+        report: api.Report | None,
+    ) -> None:
         self._out.pop((job, number), None)
         super().answer(now, job, number, outcome, latency, over, report)
 
--- a/violetsaddle/log.py
+++ b/violetsaddle/log.py
@@ -39,11 +39,22 @@
     """Where `Counters` puts what it has to say.  No method raises: a log that has gone away is no reason to
     stop serving."""
 
-    def __init__(self, form: Form, level: str = "info", limit: int = 0, window: int = 60 * SECOND,
-                 clock: Callable[[], int] = lambda: time.monotonic_ns() // 1000) -> None:
+    def __init__(
+        self,
+        form: Form,
+        level: str = "info",
+        limit: int = 0,
+        window: int = 60 * SECOND,
+        clock: Callable[[], int] = lambda: time.monotonic_ns() // 1000,
+    ) -> None:
         """`limit`: lines of one event in a window, 0 for all.  `window` and the clock are microseconds."""
         self._form, self._least, self._limit, self._window, self._clock = (
-            form, LEVELS[level], limit, window, clock)
+            form,
+            LEVELS[level],
+            limit,
+            window,
+            clock,
+        )
         self._seen: dict[tuple[str, str], int] = {}  # (level, event): lines in the window that runs
         self._until = 0  # its end
         self._armed = False
@@ -68,8 +79,11 @@
             if count > self._limit:
                 held = count - self._limit
                 seconds = self._window / SECOND
-                self._write(level, f"left out {held} more of {event!r} within {seconds:g} s",
-                            {"of": event, "times": held})
+                self._write(
+                    level,
+                    f"left out {held} more of {event!r} within {seconds:g} s",
+                    {"of": event, "times": held},
+                )
 
     def _put(self, level: str, key: str, text: str, fields: Fields, event: bool = False) -> None:
         if LEVELS[level] < self._least or (event and not self._form.shows_events):
@@ -134,8 +148,12 @@
         else:
             # Its own default would show tracebacks through rich, over many lines and with local values.
             render = structlog.dev.ConsoleRenderer(
-                colors=_terminal(stream), sort_keys=False, repr_native_str=True, pad_event_to=0,
-                exception_formatter=structlog.dev.plain_traceback)
+                colors=_terminal(stream),
+                sort_keys=False,
+                repr_native_str=True,
+                pad_event_to=0,
+                exception_formatter=structlog.dev.plain_traceback,
+            )
         bound: Any = structlog.make_filtering_bound_logger(0)
         self._logger = bound(structlog.PrintLogger(stream), [self._order, render], {"node": name})
 
@@ -176,9 +194,13 @@
     return msgspec.json.encode(line).decode()
 
 
-def make(told: Told, name: str, stream: TextIO | None,
-         clock: Callable[[], int] = lambda: time.monotonic_ns() // 1000,
-         wall: Callable[[], float] = time.time) -> Log:
+def make(
+    told: Told,
+    name: str,
+    stream: TextIO | None,
+    clock: Callable[[], int] = lambda: time.monotonic_ns() // 1000,
+    wall: Callable[[], float] = time.time,
+) -> Log:
     """The log an operator file asks for.  `clock`: microseconds, for windows; `wall`: Unix time in seconds,
     for the lines.  Raises `SettingsError` where the form needs a package that is not installed."""
     form: Form
@@ -188,6 +210,8 @@
         try:
             form = Structured(name, stream, told.form, wall)
         except ImportError as error:
-            raise SettingsError(f"log.form: expected \"plain\", for {told.form!r} needs the package "
-                                f"{error.name}, which is not installed") from None
+            raise SettingsError(
+                f'log.form: expected "plain", for {told.form!r} needs the package '
+                f"{error.name}, which is not installed"
+            ) from None
     return Log(form, told.level, told.repeat_limit, told.repeat_window_s * SECOND, clock)
--- a/violetsaddle/net/discovery.py
+++ b/violetsaddle/net/discovery.py
@@ -35,9 +35,19 @@
 class Discovery:
     """Implements `flows.Watcher`."""
 
-    def __init__(self, reactor: Reactor, limits: Limits, deadlines: Deadlines, counters: Counters,
-                 flows: Flows, servers: Servers, at: tuple[str, int], zones: Sequence[str],
-                 kinds: Sequence[str], clock: Clock) -> None:
+    def __init__(
+        self,
+        reactor: Reactor,
+        limits: Limits,
+        deadlines: Deadlines,
+        counters: Counters,
+        flows: Flows,
+        servers: Servers,
+        at: tuple[str, int],
+        zones: Sequence[str],
+        kinds: Sequence[str],
+        clock: Clock,
+    ) -> None:
         self._reactor, self._limits, self._deadlines, self._counters = reactor, limits, deadlines, counters
         self._flows, self._servers, self._host, self._port = flows, servers, *at
         self._zones = {name: index for index, name in enumerate(zones)}
@@ -123,10 +133,14 @@
         if not (math.isfinite(weight) and weight >= 0.0):
             raise BadList(f"no weight: {weight}")
         return api.Entry(
-            worker=self._servers.number_of(name), zone=self._index(self._zones, item.get("zone", 0)),
-            cell=int(item.get("cell") or 0), kind=self._index(self._kinds, item.get("kind", 0)),
-            weight=weight, state=state,
-            started=started * MS + self._clock_ahead or 1 if started else 0)
+            worker=self._servers.number_of(name),
+            zone=self._index(self._zones, item.get("zone", 0)),
+            cell=int(item.get("cell") or 0),
+            kind=self._index(self._kinds, item.get("kind", 0)),
+            weight=weight,
+            state=state,
+            started=started * MS + self._clock_ahead or 1 if started else 0,
+        )
 
     @staticmethod
     def _index(names: dict[str, int], name: object) -> int:
@@ -197,8 +211,10 @@
             if round == self._round and wrong:
                 # The list before stays in force.
                 self._counters.add("watch_bad")
-                self._counters.say(f"discovery's answer can't be taken: {wrong}"
-                                   f" (a list may hold {self._limits.list_body} bytes)")
+                self._counters.say(
+                    f"discovery's answer can't be taken: {wrong}"
+                    f" (a list may hold {self._limits.list_body} bytes)"
+                )
             elif round == self._round:
                 self._counters.add("watch_broken")
                 self._counters.event("watch broken", "warning", at=f"{self._host}:{self._port}")
@@ -215,8 +231,13 @@
     async def _call(self) -> http.Message:
         if self._connection is None or not self._connection.open:
             self._connection = await dial(
-                self._reactor, self._deadlines, self._limits.dial, self._host, self._port,
-                lambda: ServerConnection(self._limits, lambda _: None, self._limits.list_body))
+                self._reactor,
+                self._deadlines,
+                self._limits.dial,
+                self._host,
+                self._port,
+                lambda: ServerConnection(self._limits, lambda _: None, self._limits.list_body),
+            )
         target = "/discovery/hosts"
         # Version 0 is one like any other: without `after` each call would bring the whole list at once.
         # After a failure with a short wait: what was missed may count as told soon, and discovery may fall
--- a/violetsaddle/net/edge.py
+++ b/violetsaddle/net/edge.py
@@ -32,8 +32,14 @@
 UNITS = {"m": MS, "u": 1}
 FOREVER = 1 << 62
 ID = re.compile("[!-~]+")
-STATES = {"started": Word.STARTED, "running": Word.STARTED, "done": Word.DONE, "failed": Word.FAILED,
-          "returned": Word.RETURNED, "lost": Word.LOST}
+STATES = {
+    "started": Word.STARTED,
+    "running": Word.STARTED,
+    "done": Word.DONE,
+    "failed": Word.FAILED,
+    "returned": Word.RETURNED,
+    "lost": Word.LOST,
+}
 
 
 NOT_PASSED_ON = http.HOP_BY_HOP | {"x-remaining"}
@@ -47,8 +53,11 @@
     def __init__(self, message: http.Message) -> None:
         # What is passed on is copied in one go, for it must outlive its buffer; the lengths are our own.
         self._body = bytes(message.body)
-        self._head = (f"{message.start[0]} {message.start[1]} HTTP/1.1\r\n".encode("ascii")
-                      + message.lines(NOT_PASSED_ON) + b"Content-Length: %d\r\n" % len(self._body))
+        self._head = (
+            f"{message.start[0]} {message.start[1]} HTTP/1.1\r\n".encode("ascii")
+            + message.lines(NOT_PASSED_ON)
+            + b"Content-Length: %d\r\n" % len(self._body)
+        )
 
     def message(self, host: str, wait: int) -> Sequence[bytes]:
         return self._head, f"Host: {host}\r\nX-Remaining: {max(1, wait)}u\r\n\r\n".encode("ascii"), self._body
@@ -126,8 +135,11 @@
     if word is Word.DONE and not isinstance(result, str):
         word = Word.FAILED  # it ran, but there is nothing of its own to pass on
     if scheduling is None or not shared.flows.word(
-            scheduling, word, shared.report(call.get("load")),
-            result.encode("utf-8", "surrogatepass") if isinstance(result, str) else None):
+        scheduling,
+        word,
+        shared.report(call.get("load")),
+        result.encode("utf-8", "surrogatepass") if isinstance(result, str) else None,
+    ):
         shared.counters.add("callbacks_unmatched")
     elif word is Word.STARTED:
         shared.flows.noted(scheduling, api.PROGRESS if state == "running" else api.STARTED, float(share))
@@ -426,8 +438,17 @@
             self._awaited = True
             self._rest()
             number = self._shared.flows.arrive(
-                job, cls, message.header("x-org"), time, bool(message.header("idempotency-key")), slots,
-                subject(query), estimate(message.header("x-estimate")), HttpOrder(message), self)
+                job,
+                cls,
+                message.header("x-org"),
+                time,
+                bool(message.header("idempotency-key")),
+                slots,
+                subject(query),
+                estimate(message.header("x-estimate")),
+                HttpOrder(message),
+                self,
+            )
             self._flow = number
         except Unfit as error:
             self._awaited = False
@@ -512,8 +533,11 @@
 
     def _make_room(self) -> bool:
         now = self.shared.deadlines.now()
-        places = [(place, number, c) for number, c in enumerate(self.shared.connections)
-                  if (place := c.gives_way(now)) is not None]
+        places = [
+            (place, number, c)
+            for number, c in enumerate(self.shared.connections)
+            if (place := c.gives_way(now)) is not None
+        ]
         heapify(places)
         # Where a request lies unread, that connection stays.
         return any(heappop(places)[2].make_room() for _ in range(len(places)))
--- a/violetsaddle/net/flows.py
+++ b/violetsaddle/net/flows.py
@@ -59,8 +59,21 @@
 class Scheduling:
     """One attempt of a flow at a real server."""
 
-    __slots__ = ("flow", "job", "number", "server", "sent", "life", "late", "unsent", "ticket", "name",
-                 "effect", "real", "doubt")
+    __slots__ = (
+        "flow",
+        "job",
+        "number",
+        "server",
+        "sent",
+        "life",
+        "late",
+        "unsent",
+        "ticket",
+        "name",
+        "effect",
+        "real",
+        "doubt",
+    )
 
     def __init__(self, flow: int, job: str, number: int, server: int, sent: int, effect: str) -> None:
         self.effect = effect  # of its flow's class
@@ -123,8 +136,18 @@
 
 
 class Flow:
-    __slots__ = ("number", "job", "order", "asker", "deadline", "schedulings", "guard", "late", "effect",
-                 "aim")
+    __slots__ = (
+        "number",
+        "job",
+        "order",
+        "asker",
+        "deadline",
+        "schedulings",
+        "guard",
+        "late",
+        "effect",
+        "aim",
+    )
 
     def __init__(self, job: str, order: Order, asker: Asker, deadline: int, spec: api.RequestClass) -> None:
         self.effect, self.aim = spec.effect, spec.aim
@@ -136,9 +159,17 @@
 
 
 class Flows:
-    def __init__(self, told: api.Settings, classes: Sequence[str], tenants: Sequence[str], seed: int,
-                 limits: Limits, deadlines: Deadlines, counters: Counters,
-                 decider: Decider = Balancer) -> None:
+    def __init__(
+        self,
+        told: api.Settings,
+        classes: Sequence[str],
+        tenants: Sequence[str],
+        seed: int,
+        limits: Limits,
+        deadlines: Deadlines,
+        counters: Counters,
+        decider: Decider = Balancer,
+    ) -> None:
         """`decider` makes the decision module; experiments put another one in its place."""
         self._told, self._limits, self._deadlines, self._counters = told, limits, deadlines, counters
         self._classes = {name: index for index, name in enumerate(classes)}
@@ -190,8 +221,19 @@
             self._telling = False
         self._deadlines.sweep()
 
-    def arrive(self, job: str, cls: str, tenant: str | None, remaining: int, repeat_key: bool, slots: float,
-               key: int | None, hint: int, order: Order, asker: Asker) -> int:
+    def arrive(
+        self,
+        job: str,
+        cls: str,
+        tenant: str | None,
+        remaining: int,
+        repeat_key: bool,
+        slots: float,
+        key: int | None,
+        hint: int,
+        order: Order,
+        asker: Asker,
+    ) -> int:
         """Takes a flow in and gives its number; raises `Unfit` if it can't be."""
         index = self._classes.get(cls)
         if index is None:
@@ -222,16 +264,18 @@
         self._tell(lambda: self._request(number, index, place, given, slots, key, hint))
         return number
 
-    def _request(self, number: int, cls: int, tenant: int, remaining: int, slots: float,
-                 key: int | None, hint: int) -> None:
+    def _request(
+        self, number: int, cls: int, tenant: int, remaining: int, slots: float, key: int | None, hint: int
+    ) -> None:
         flow = self._table.get(number)
         if flow is None:
             return
         try:
             # A guess beyond the class's whole time is none, and would spoil the module's means.
             hint = min(hint, self._told.classes[cls].deadline)
-            self._balancer.request(flow.deadline - remaining, flow.job, cls, remaining, tenant, slots, key,
-                                   hint)
+            self._balancer.request(
+                flow.deadline - remaining, flow.job, cls, remaining, tenant, slots, key, hint
+            )
         except Exception as error:
             self._counters.fault("the module failed on a flow", error)
             self._fail(flow, Failure.BROKEN)
@@ -298,11 +342,11 @@
 
     def ids(self) -> list[str]:
         """Those that must not be taken again: of the flows that are over, and of those that are open."""
-        return [*self._over, *self._by_job][-self._limits.remembered:]
+        return [*self._over, *self._by_job][-self._limits.remembered :]
 
     def remember(self, ids: Sequence[str]) -> None:
         """Ids of an earlier life of the program, the latest last."""
-        for job in ids[-self._limits.remembered:]:
+        for job in ids[-self._limits.remembered :]:
             if len(job) <= self._limits.identity:
                 self._over[job] = None
 
@@ -321,8 +365,13 @@
         flow = self._table.get(scheduling.flow)
         return flow is not None and any(s.name == name for s in flow.schedulings if s is not scheduling)
 
-    def word(self, scheduling: Scheduling, word: Word, report: api.Report | None = None,
-             result: bytes | None = None) -> bool:
+    def word(
+        self,
+        scheduling: Scheduling,
+        word: Word,
+        report: api.Report | None = None,
+        result: bytes | None = None,
+    ) -> bool:
         """Takes in what is heard of a scheduling; False if it proves nothing and was passed over."""
         step = TABLE[scheduling.life].get(word)
         if step is None:
@@ -345,16 +394,24 @@
             flow = self._table.get(scheduling.flow)
             if self._tally is not None and flow is not None and what == api.STARTED:
                 self._tally.over(scheduling, flow.aim, self._deadlines.now())
-            self._tell(lambda: self._balancer.note(
-                self._deadlines.now(), scheduling.job, scheduling.number, what, amount))
+            self._tell(
+                lambda: self._balancer.note(
+                    self._deadlines.now(), scheduling.job, scheduling.number, what, amount
+                )
+            )
 
     def waits(self, scheduling: Scheduling) -> bool:
         """Whether somebody still waits for what becomes of it: once it ends, another may follow."""
         flow = self._table.get(scheduling.flow)
         return flow is not None and flow.asker is not None and not scheduling.ended
 
-    def ended(self, scheduling: Scheduling, outcome: str, report: api.Report | None = None,
-              result: bytes | None = None) -> None:
+    def ended(
+        self,
+        scheduling: Scheduling,
+        outcome: str,
+        report: api.Report | None = None,
+        result: bytes | None = None,
+    ) -> None:
         """The one outcome of a scheduling; a second one is passed over."""
         if scheduling.life is Life.ENDED:
             return
@@ -375,17 +432,25 @@
         if self._tally is not None:
             self._tally.over(scheduling, flow.aim, self._deadlines.now())
         if outcome != api.OK:
-            self._counters.event("scheduling ended badly", flow=scheduling.job, scheduling=scheduling.number,
-                                 server=scheduling.name, outcome=outcome,
-                                 after_us=self._deadlines.now() - scheduling.sent)
+            self._counters.event(
+                "scheduling ended badly",
+                flow=scheduling.job,
+                scheduling=scheduling.number,
+                server=scheduling.name,
+                outcome=outcome,
+                after_us=self._deadlines.now() - scheduling.sent,
+            )
         if outcome == api.OK and flow.asker is not None:
             asker, flow.asker = flow.asker, None
             self._counters.add("answered_served")
             asker.served(result or b"")
         over = flow.asker is None
         now = self._deadlines.now()
-        self._tell(lambda: self._balancer.answer(
-            now, scheduling.job, scheduling.number, outcome, now - scheduling.sent, over, report))
+        self._tell(
+            lambda: self._balancer.answer(
+                now, scheduling.job, scheduling.number, outcome, now - scheduling.sent, over, report
+            )
+        )
         self._tidy(flow)
 
     def _overdue(self, number: int) -> None:
@@ -426,8 +491,11 @@
 
     def _tidy(self, flow: Flow) -> None:
         """A flow's slot is free once its answer is given and no scheduling is out."""
-        if (flow.asker is None and all(s.life is Life.ENDED for s in flow.schedulings)
-                and self._table.get(flow.number)):
+        if (
+            flow.asker is None
+            and all(s.life is Life.ENDED for s in flow.schedulings)
+            and self._table.get(flow.number)
+        ):
             self._deadlines.drop(flow.guard)
             self._table.free(flow.number)
             del self._by_job[flow.job]
@@ -452,8 +520,12 @@
         until = min(until, flow.deadline) if until else flow.deadline
         scheduling = Scheduling(flow.number, job, len(flow.schedulings), worker, now, flow.effect)
         flow.schedulings.append(scheduling)
-        if (flow.asker is None or now >= until or 0 < by <= now
-                or len(flow.schedulings) > self._told.most_attempts):
+        if (
+            flow.asker is None
+            or now >= until
+            or 0 < by <= now
+            or len(flow.schedulings) > self._told.most_attempts
+        ):
             self.ended(scheduling, api.MOOT)
             return
         scheduling.late = self._deadlines.add(until, lambda: self._expired(scheduling))
--- a/violetsaddle/net/http.py
+++ b/violetsaddle/net/http.py
@@ -16,15 +16,37 @@
 CONTROLS = frozenset(range(0x20)) - {0x09} | {0x7F}
 HEX = frozenset(b"0123456789abcdefABCDEF")
 REASONS = {
-    200: "OK", 202: "Accepted", 204: "No Content", 400: "Bad Request", 404: "Not Found",
-    405: "Method Not Allowed", 408: "Request Timeout", 413: "Content Too Large", 429: "Too Many Requests",
-    431: "Request Header Fields Too Large", 502: "Bad Gateway", 503: "Service Unavailable",
-    504: "Gateway Timeout", 505: "HTTP Version Not Supported",
+    200: "OK",
+    202: "Accepted",
+    204: "No Content",
+    400: "Bad Request",
+    404: "Not Found",
+    405: "Method Not Allowed",
+    408: "Request Timeout",
+    413: "Content Too Large",
+    429: "Too Many Requests",
+    431: "Request Header Fields Too Large",
+    502: "Bad Gateway",
+    503: "Service Unavailable",
+    504: "Gateway Timeout",
+    505: "HTTP Version Not Supported",
 }
-HOP_BY_HOP = frozenset((
-    "connection", "keep-alive", "proxy-authenticate", "proxy-authorization", "proxy-connection", "te",
-    "trailer", "transfer-encoding", "upgrade", "host", "content-length", "expect",
-))
+HOP_BY_HOP = frozenset(
+    (
+        "connection",
+        "keep-alive",
+        "proxy-authenticate",
+        "proxy-authorization",
+        "proxy-connection",
+        "te",
+        "trailer",
+        "transfer-encoding",
+        "upgrade",
+        "host",
+        "content-length",
+        "expect",
+    )
+)
 
 
 class Malformed(Exception):
@@ -58,8 +80,9 @@
 
     __slots__ = ("start", "body", "sure", "delimited", "_view", "_spans", "_values")
 
-    def __init__(self, start: tuple[str, str, str], view: memoryview, spans: list[Span],
-                 body: memoryview) -> None:
+    def __init__(
+        self, start: tuple[str, str, str], view: memoryview, spans: list[Span], body: memoryview
+    ) -> None:
         self.start, self._view, self._spans, self.body = start, view, spans, body
         self._values: dict[str, str] = {}
         self.sure = True  # no other message can be taken for it
@@ -142,7 +165,7 @@
                 return None
             if not self._answers or not 100 <= int((self._start or ("", "0", ""))[1]) < 200:
                 break
-            del self._buffer[:self._body_at]  # an interim answer says nothing of the outcome
+            del self._buffer[: self._body_at]  # an interim answer says nothing of the outcome
             self._reset()
         if self._chunked:
             return self._cut() if self._read_chunks() else None
@@ -167,7 +190,7 @@
         self._buffer = buffer[end:]
         view = memoryview(buffer)
         assert self._start is not None
-        message = Message(self._start, view, self._fields, view[self._body_at:self._kept])
+        message = Message(self._start, view, self._fields, view[self._body_at : self._kept])
         self._reset()
         return message
 
@@ -196,8 +219,12 @@
         except UnicodeDecodeError:
             raise Malformed(400, "the first line is not ASCII") from None
         if self._answers:
-            if (len(parts) < 2 or not parts[0].startswith("HTTP/1.") or len(parts[1]) != 3
-                    or not parts[1].isdigit()):
+            if (
+                len(parts) < 2
+                or not parts[0].startswith("HTTP/1.")
+                or len(parts[1]) != 3
+                or not parts[1].isdigit()
+            ):
                 raise Malformed(502, "not an HTTP answer")
             return parts[0], parts[1], ""
         if len(parts) != 3 or not parts[0] or not parts[0].isalpha() or not parts[1]:
@@ -273,7 +300,7 @@
                 if self._read_at - self._kept > self._limits.head + self._most_body:
                     raise Malformed(431, "the trailers are too large")
                 continue
-            size = bytes(buffer[self._read_at:stop]).split(b";")[0].strip()
+            size = bytes(buffer[self._read_at : stop]).split(b";")[0].strip()
             if not size or len(size) > 8 or not HEX.issuperset(size):
                 raise Malformed(400, "bad chunk size")
             length = int(size, 16)
@@ -285,9 +312,9 @@
             first = stop + 2
             if len(buffer) < first + length + 2:
                 return False
-            if buffer[first + length:first + length + 2] != b"\r\n":
+            if buffer[first + length : first + length + 2] != b"\r\n":
                 raise Malformed(400, "a chunk does not end where it says")
-            buffer[self._kept:self._kept + length] = buffer[first:first + length]
+            buffer[self._kept : self._kept + length] = buffer[first : first + length]
             self._kept += length
             self._read_at = first + length + 2
 
--- a/violetsaddle/net/lean.py
+++ b/violetsaddle/net/lean.py
@@ -41,9 +41,13 @@
 
 # Names that Twisted takes at its import, by module.  A class is only named in annotations there.
 NAMES: dict[str, dict[str, Any]] = {
-    "asyncio": {"AbstractEventLoop": _late("asyncio", "AbstractEventLoop"),
-                "Future": _late("asyncio", "Future"), "iscoroutine": iscoroutine},
-    "http": {}, "http.cookiejar": {},
+    "asyncio": {
+        "AbstractEventLoop": _late("asyncio", "AbstractEventLoop"),
+        "Future": _late("asyncio", "Future"),
+        "iscoroutine": iscoroutine,
+    },
+    "http": {},
+    "http.cookiejar": {},
     "html": {"escape": _late("html", "escape")},
 }
 
--- a/violetsaddle/net/limits.py
+++ b/violetsaddle/net/limits.py
@@ -70,7 +70,12 @@
         # What comes as unused connections close has the longest deadline, or 0.9 s.
         keep_idle = max(500 * MS, last_word - min(longest, 900 * MS))
         return cls(
-            edge_connections=usable * 5 // 8, edge_spare=max(2, usable // 32), server_connections=usable // 3,
-            dial=told.connect_timeout, server_idle=max(told.keepalive // 2, told.keepalive - 500 * MS),
-            last_word=last_word, keep_idle=keep_idle, keep_asking=max(cls.linger, keep_idle - 500 * MS),
+            edge_connections=usable * 5 // 8,
+            edge_spare=max(2, usable // 32),
+            server_connections=usable // 3,
+            dial=told.connect_timeout,
+            server_idle=max(told.keepalive // 2, told.keepalive - 500 * MS),
+            last_word=last_word,
+            keep_idle=keep_idle,
+            keep_asking=max(cls.linger, keep_idle - 500 * MS),
         )
--- a/violetsaddle/net/node.py
+++ b/violetsaddle/net/node.py
@@ -86,10 +86,17 @@
 
 
 class Node:
-    def __init__(self, reactor: Reactor, config: Config, reread: Callable[[], Config],
-                 adjust: Callable[[Limits], Limits] = unchanged, log: Sink | None = None,
-                 clock: Clock | None = None, decider: Decider = Balancer,
-                 keep: Callable[[Node], Keeper] | None = None) -> None:
+    def __init__(
+        self,
+        reactor: Reactor,
+        config: Config,
+        reread: Callable[[], Config],
+        adjust: Callable[[Limits], Limits] = unchanged,
+        log: Sink | None = None,
+        clock: Clock | None = None,
+        decider: Decider = Balancer,
+        keep: Callable[[Node], Keeper] | None = None,
+    ) -> None:
         """`adjust`, `log` and `keep` are what an operator file asks for; without a clock it is the
         machine's."""
         clock = self.clock = clock or SystemClock()
@@ -99,19 +106,46 @@
         self.deadlines = Deadlines(reactor, clock, self.counters.fault)
         if log is not None:
             log.timer = self.deadlines.after
-        self.flows = Flows(config.told, config.classes, config.tenants, config.seed, self.limits,
-                           self.deadlines, self.counters, decider)
-        self.servers = Servers(reactor, self.limits, self.deadlines, self.counters, self.flows, config.told,
-                               config.fields)
-        self.discovery = Discovery(reactor, self.limits, self.deadlines, self.counters, self.flows,
-                                   self.servers, config.discovery, config.zones, config.kinds, clock)
+        self.flows = Flows(
+            config.told,
+            config.classes,
+            config.tenants,
+            config.seed,
+            self.limits,
+            self.deadlines,
+            self.counters,
+            decider,
+        )
+        self.servers = Servers(
+            reactor, self.limits, self.deadlines, self.counters, self.flows, config.told, config.fields
+        )
+        self.discovery = Discovery(
+            reactor,
+            self.limits,
+            self.deadlines,
+            self.counters,
+            self.flows,
+            self.servers,
+            config.discovery,
+            config.zones,
+            config.kinds,
+            clock,
+        )
         self.flows.carrier, self.flows.watcher = self.servers, self.discovery
         if self.limits.silence:
             from violetsaddle.decide.recovery import Recovery
 
             self.flows.doubter = Recovery(self.deadlines.now(), self.limits.silence)
-        self.edge = EdgeFactory(Shared(self.flows, self.limits, self.deadlines, self.counters,
-                                       self.servers.report, getattr(reactor, "behind", lambda: FOREVER)))
+        self.edge = EdgeFactory(
+            Shared(
+                self.flows,
+                self.limits,
+                self.deadlines,
+                self.counters,
+                self.servers.report,
+                getattr(reactor, "behind", lambda: FOREVER),
+            )
+        )
         self.counters.held = self.held
         self._port: Any = None  # None: not listening
         self._peers: Peers | None = None
@@ -148,8 +182,9 @@
         if not self.config.told.must_ask:
             self.discovery.watch()
 
-    def adopt(self, listener: socket.socket, datagrams: socket.socket | None, known: Any,
-              paused: bool) -> None:
+    def adopt(
+        self, listener: socket.socket, datagrams: socket.socket | None, known: Any, paused: bool
+    ) -> None:
         """The same with copies of sockets that listen already; `known`: the list to begin with; `paused`:
         until `resume`, what comes is another process's."""
         if known or self.config.known:
@@ -170,8 +205,9 @@
 
     def _join(self, datagrams: socket.socket | None) -> None:
         if self.config.peer_listen is not None and self.config.told.may_tell:
-            peers = self._peers = Peers(self.reactor, self.limits, self.counters, self.flows,
-                                        self.config.peers, self.config.peers_all)
+            peers = self._peers = Peers(
+                self.reactor, self.limits, self.counters, self.flows, self.config.peers, self.config.peers_all
+            )
             if datagrams is None:
                 peers.listen(self.config.peer_listen)
             else:
@@ -211,6 +247,7 @@
     def drain(self, idle_for: int, empty: Callable[[], None]) -> None:
         """Ends what clients have here: each connection with its next answer, and one that is not used within
         `idle_for` microseconds then.  `empty` is called when nothing is left."""
+
         def look() -> None:
             if not len(self.flows) and not len(self.edge.shared.connections):
                 empty()
@@ -236,8 +273,11 @@
 
     def held(self) -> dict[str, int]:
         """What the node holds now; after its end each must be 0."""
-        return {"flows": len(self.flows), "edge": len(self.edge.shared.connections),
-                "servers": self.servers.held}
+        return {
+            "flows": len(self.flows),
+            "edge": len(self.edge.shared.connections),
+            "servers": self.servers.held,
+        }
 
     def _hold(self, held: bool) -> None:
         if self._port is not None:
@@ -293,8 +333,12 @@
         """Ends what is to end, if nothing is owed here nor by the process whose callbacks come to us.
 
         A connection stays open on which something lies unread, or has come in part: it may be a request."""
-        if (self._closing and not len(self.flows) and not self.guest()
-                and (not self.edge.owes or self.deadlines.now() >= self.flows.last_word)):
+        if (
+            self._closing
+            and not len(self.flows)
+            and not self.guest()
+            and (not self.edge.owes or self.deadlines.now() >= self.flows.last_word)
+        ):
             self.finish()
 
     def finish(self) -> None:
@@ -335,11 +379,16 @@
             self.counters.fault("caught by Twisted", failure.value)
 
 
-def run(config: Config, reread: Callable[[], Config], adjust: Callable[[Limits], Limits] = unchanged,
-        log: Sink | None = None, keep: Callable[[Node], Keeper] | None = None,
-        listener: socket.socket | None = None,
-        upgrades: Callable[[Reactor, Node], Upgrades] | None = None,
-        told_early: Callable[[], bool] = lambda: False) -> int:
+def run(
+    config: Config,
+    reread: Callable[[], Config],
+    adjust: Callable[[Limits], Limits] = unchanged,
+    log: Sink | None = None,
+    keep: Callable[[Node], Keeper] | None = None,
+    listener: socket.socket | None = None,
+    upgrades: Callable[[Reactor, Node], Upgrades] | None = None,
+    told_early: Callable[[], bool] = lambda: False,
+) -> int:
     """Runs a node until it ends and gives the program's status; `listener`: see `Node.start`; `upgrades`:
     None where they are off; `told_early`: whether the program was told to end before it could."""
     from violetsaddle.net import reactor as own
@@ -354,9 +403,13 @@
     running: Reactor = reactor
     life = upgrades(running, node) if upgrades is not None else None
     stop = node.stop if life is None else life.stop
-    for number, what in ((signal.SIGTERM, stop), (signal.SIGINT, stop), (signal.SIGHUP, node.reload),
-                         (signal.SIGUSR1, node.counters.show),
-                         *([] if life is None else [(signal.SIGUSR2, life.asked)])):
+    for number, what in (
+        (signal.SIGTERM, stop),
+        (signal.SIGINT, stop),
+        (signal.SIGHUP, node.reload),
+        (signal.SIGUSR1, node.counters.show),
+        *([] if life is None else [(signal.SIGUSR2, life.asked)]),
+    ):
         signal.signal(number, lambda *_, what=what: running.callFromThread(what))
     try:
         (life or node).start(listener)
--- a/violetsaddle/net/peers.py
+++ b/violetsaddle/net/peers.py
@@ -19,8 +19,15 @@
     noisy = False
     transport: Transport
 
-    def __init__(self, reactor: Reactor, limits: Limits, counters: Counters, flows: Flows,
-                 peers: Sequence[tuple[str, int]], everyone: tuple[str, int] | None) -> None:
+    def __init__(
+        self,
+        reactor: Reactor,
+        limits: Limits,
+        counters: Counters,
+        flows: Flows,
+        peers: Sequence[tuple[str, int]],
+        everyone: tuple[str, int] | None,
+    ) -> None:
         self._reactor, self._limits, self._counters, self._flows = reactor, limits, counters, flows
         self._addresses = list(peers)
         self.aside: Callable[[int, bytes], bool] | None = None  # takes a datagram that is not the module's
@@ -65,7 +72,7 @@
         if self.transport is None or len(data) > self._limits.datagram:
             return
         self._counters.add("told")
-        for address in self._to if to is None else self._addresses[to:to + 1]:
+        for address in self._to if to is None else self._addresses[to : to + 1]:
             self._send(data, address)
 
     def say(self, number: int, data: bytes) -> None:
--- a/violetsaddle/net/servers.py
+++ b/violetsaddle/net/servers.py
@@ -90,8 +90,9 @@
         if on_open is not None:
             on_open()
 
-    def exchange(self, message: Sequence[bytes],
-                 on_written: Callable[[], None] | None = None) -> Deferred[http.Message]:
+    def exchange(
+        self, message: Sequence[bytes], on_written: Callable[[], None] | None = None
+    ) -> Deferred[http.Message]:
         """Sends a message and gives its answer; fails with `Broken`.  Cancelling it closes the connection."""
         answer: Deferred[http.Message] = Deferred(self._cancelled)
         self._answer, self._message, self._written, self._on_written = answer, message, False, on_written
@@ -219,8 +220,14 @@
         self._transport = self._connector = connector.transport = None
 
 
-def dial(reactor: Reactor, deadlines: Deadlines, wait: int, host: str, port: int,
-         build: Callable[[], ServerConnection]) -> Deferred[ServerConnection]:
+def dial(
+    reactor: Reactor,
+    deadlines: Deadlines,
+    wait: int,
+    host: str,
+    port: int,
+    build: Callable[[], ServerConnection],
+) -> Deferred[ServerConnection]:
     """A new connection; fails with `NotConnected` when it does not come up in time.  Can be cancelled."""
     dialling = _Dial(build)
     done = dialling.done
@@ -243,8 +250,16 @@
 class Servers:
     """All real servers known; implements `flows.Carrier`."""
 
-    def __init__(self, reactor: Reactor, limits: Limits, deadlines: Deadlines, counters: Counters,
-                 flows: Flows, told: api.Settings, fields: Mapping[str, str]) -> None:
+    def __init__(
+        self,
+        reactor: Reactor,
+        limits: Limits,
+        deadlines: Deadlines,
+        counters: Counters,
+        flows: Flows,
+        told: api.Settings,
+        fields: Mapping[str, str],
+    ) -> None:
         self._reactor, self._limits, self._deadlines = reactor, limits, deadlines
         self._counters, self._flows, self._fields = counters, flows, fields
         self._by_name: dict[str, RealServer] = {}
@@ -272,8 +287,13 @@
             server = self._by_name[name] = self._by_number[number] = RealServer(name, number)
         return server.number
 
-    def listed(self, addresses: Mapping[str, tuple[str, int]], gone: Sequence[str], whole: bool,
-               drained: Collection[str] = ()) -> None:
+    def listed(
+        self,
+        addresses: Mapping[str, tuple[str, int]],
+        gone: Sequence[str],
+        whole: bool,
+        drained: Collection[str] = (),
+    ) -> None:
         """Takes in where real servers are; `whole`: those not named have gone; `drained`: these want nothing
         new."""
         for name, (host, port) in addresses.items():
@@ -348,8 +368,14 @@
         if not server.port or not self._room(spare):
             return fail(NotConnected())
         self._dialling += 1
-        dialled = dial(self._reactor, self._deadlines, self._limits.dial, server.host, server.port,
-                       lambda: ServerConnection(self._limits, self._lost))
+        dialled = dial(
+            self._reactor,
+            self._deadlines,
+            self._limits.dial,
+            server.host,
+            server.port,
+            lambda: ServerConnection(self._limits, self._lost),
+        )
 
         def over(result: Any) -> Any:
             self._dialling -= 1
@@ -368,8 +394,11 @@
         connection makes room."""
         if self.held < self._limits.server_connections + spare:
             return True
-        longest = [c for s in self._by_name.values() if s.idle
-                   and (c := self._connections.get(s.idle[0])) is not None]
+        longest = [
+            c
+            for s in self._by_name.values()
+            if s.idle and (c := self._connections.get(s.idle[0])) is not None
+        ]
         if not longest:
             return False
         oldest = min(longest, key=lambda c: c.patience.until if c.patience is not None else 0)
@@ -405,10 +434,15 @@
     # Work for real servers is chained by Deferreds, not by coroutines: an exception thrown into a coroutine
     # leaves its frames, and all that they hold, to the collector.
 
-    def _exchange(self, server: RealServer, message: Callable[[], Sequence[bytes]],
-                  on_written: Callable[[], None] | None = None,
-                  fresh: bool = False, clean: Sequence[int] = CLEAN,
-                  sure: bool = False) -> Deferred[http.Message]:
+    def _exchange(
+        self,
+        server: RealServer,
+        message: Callable[[], Sequence[bytes]],
+        on_written: Callable[[], None] | None = None,
+        fresh: bool = False,
+        clean: Sequence[int] = CLEAN,
+        sure: bool = False,
+    ) -> Deferred[http.Message]:
         """Sends a message made once there is a connection; fails with `NotConnected` or `Broken`.  `clean`:
         after which answers the connection is kept; `sure`: no other answer may be taken for this one's."""
         connection = None if fresh else self._idle(server, sure)
@@ -420,9 +454,13 @@
         dialled: Deferred[Any] = self._connect(server)
         return dialled.addCallback(self._on, message, on_written, clean)
 
-    def _on(self, connection: ServerConnection, message: Callable[[], Sequence[bytes]],
-            on_written: Callable[[], None] | None = None,
-            clean: Sequence[int] = CLEAN) -> Deferred[http.Message]:
+    def _on(
+        self,
+        connection: ServerConnection,
+        message: Callable[[], Sequence[bytes]],
+        on_written: Callable[[], None] | None = None,
+        clean: Sequence[int] = CLEAN,
+    ) -> Deferred[http.Message]:
         sure = self._deadlines.now() >= connection.quiet
         try:
             parts = message()
@@ -430,11 +468,13 @@
             self._keep(connection)
             raise
         answer = connection.exchange(parts, on_written)
-        return answer.addCallbacks(self._whole, self._broke, (connection, sure, clean),
-                                   errbackArgs=(connection,))
+        return answer.addCallbacks(
+            self._whole, self._broke, (connection, sure, clean), errbackArgs=(connection,)
+        )
 
-    def _whole(self, answer: http.Message, connection: ServerConnection, sure: bool,
-               clean: Sequence[int]) -> http.Message:
+    def _whole(
+        self, answer: http.Message, connection: ServerConnection, sure: bool, clean: Sequence[int]
+    ) -> http.Message:
         answer.sure = sure
         if answer.status in clean or answer.header("x-turned-away") == "1":
             self._keep(connection)
@@ -474,19 +514,27 @@
             self._flows.word(scheduling, Word.WRITTEN)
 
         ticket = scheduling.ticket = self._exchange(
-            server, partial(self._message, scheduling, server, order, until), written,
-            fresh=scheduling.effect == api.UNSAFE or self._deadlines.now() < self._doubt_until, clean=(202,),
-            sure=scheduling.effect != api.SAFE)
+            server,
+            partial(self._message, scheduling, server, order, until),
+            written,
+            fresh=scheduling.effect == api.UNSAFE or self._deadlines.now() < self._doubt_until,
+            clean=(202,),
+            sure=scheduling.effect != api.SAFE,
+        )
         ticket.addCallbacks(self._answered, self._not_carried, (scheduling,), errbackArgs=(scheduling,))
         ticket.addErrback(self._failed)
 
-    def _message(self, scheduling: Scheduling, server: RealServer, order: Order,
-                 until: int) -> Sequence[bytes]:
+    def _message(
+        self, scheduling: Scheduling, server: RealServer, order: Order, until: int
+    ) -> Sequence[bytes]:
         """What is to be sent; raises `Withheld`.  Asked as the first byte is to leave: a list, or the end of
         the client, may have come during the dial."""
         now = self._deadlines.now()
-        if not server.listed or server.drains or (
-                now > scheduling.sent + self._limits.unseen and not self._flows.wanted(scheduling)):
+        if (
+            not server.listed
+            or server.drains
+            or (now > scheduling.sent + self._limits.unseen and not self._flows.wanted(scheduling))
+        ):
             raise Withheld
         return order.message(server.address, until - now)
 
@@ -530,8 +578,9 @@
         self._delete(server, scheduling, told)
         return out
 
-    def _delete(self, server: RealServer, scheduling: Scheduling, told: Callable[[], None],
-                tries: int = 1) -> None:
+    def _delete(
+        self, server: RealServer, scheduling: Scheduling, told: Callable[[], None], tries: int = 1
+    ) -> None:
         """`told` is called once the real server has been told, or its word is no longer needed."""
         # Guards against a DELETE that is dropped unread with the connection it went out on, and against one
         # that the next scheduling overtakes, as a new connection or a busy real server takes its time: it
@@ -598,8 +647,11 @@
         """A load report by what its values mean; None where there is none that can be read."""
         if isinstance(load, str):
             try:
-                load = (json.loads(load) if load.lstrip().startswith("{")
-                        else dict(pair.split("=", 1) for pair in load.strip().split(",")))
+                load = (
+                    json.loads(load)
+                    if load.lstrip().startswith("{")
+                    else dict(pair.split("=", 1) for pair in load.strip().split(","))
+                )
             except (ValueError, RecursionError):
                 return None
         if not isinstance(load, dict):
--- a/violetsaddle/net/upgrade.py
+++ b/violetsaddle/net/upgrade.py
@@ -111,10 +111,16 @@
     status: int
 
 
-Message: TypeAlias = (
-    Hello | State | Ids | Whole | Ready | Go | Serves | Ending | Took | Over | Call | Called)
-EVENTS = {Hello: Event.HELLO, State: Event.STATE, Whole: Event.WHOLE, Ready: Event.READY, Go: Event.GO,
-          Serves: Event.SERVES, Ending: Event.ENDING}
+Message: TypeAlias = Hello | State | Ids | Whole | Ready | Go | Serves | Ending | Took | Over | Call | Called
+EVENTS = {
+    Hello: Event.HELLO,
+    State: Event.STATE,
+    Whole: Event.WHOLE,
+    Ready: Event.READY,
+    Go: Event.GO,
+    Serves: Event.SERVES,
+    Ending: Event.ENDING,
+}
 
 
 @dataclass(frozen=True)
@@ -128,8 +134,12 @@
 
     @classmethod
     def of(cls, restart: Any) -> Told:
-        return cls(restart.upgrade, int(restart.upgrade_wait_s * SECOND),
-                   int(restart.upgrade_drain_s * SECOND), restart.pid_file)
+        return cls(
+            restart.upgrade,
+            int(restart.upgrade_wait_s * SECOND),
+            int(restart.upgrade_drain_s * SECOND),
+            restart.pid_file,
+        )
 
 
 def inherited(text: str) -> socket.socket:
@@ -147,8 +157,14 @@
 class Link(FileDescriptor):
     """One end of the pair."""
 
-    def __init__(self, reactor: Reactor, pair: socket.socket, most: int,
-                 heard: Callable[[Message | None], None], ended: Callable[[], None]) -> None:
+    def __init__(
+        self,
+        reactor: Reactor,
+        pair: socket.socket,
+        most: int,
+        heard: Callable[[Message | None], None],
+        ended: Callable[[], None],
+    ) -> None:
         """`most`: bytes of a message that comes.  `heard` gets each message, and None for nonsense, after
         which nothing more comes; `ended` is called once when the other side has gone."""
         super().__init__(reactor)
@@ -210,8 +226,8 @@
                 return self._nonsense()
             if len(self._held) < PREFIX + length:
                 return None
-            body = bytes(self._held[PREFIX:PREFIX + length])
-            del self._held[:PREFIX + length]
+            body = bytes(self._held[PREFIX : PREFIX + length])
+            del self._held[: PREFIX + length]
             try:
                 message = self._decoder.decode(body)
             except (msgspec.DecodeError, RecursionError, UnicodeDecodeError):
@@ -287,8 +303,9 @@
 class Upgrade:
     """One process's side.  A successor whose predecessor has gone is what may be upgraded next."""
 
-    def __init__(self, reactor: Reactor, node: Node, config: Config, told: Told, pair: socket.socket | None,
-                 step: Step) -> None:
+    def __init__(
+        self, reactor: Reactor, node: Node, config: Config, told: Told, pair: socket.socket | None, step: Step
+    ) -> None:
         """`pair`: what this process inherited, if it is a successor."""
         self._reactor, self._node, self._config, self._told = reactor, node, config, told
         self._pair, self._step = pair, step
@@ -307,13 +324,27 @@
         self._listing = Listing()
         node.discovery.seen.append(self._listing.take)
         self._acts: dict[Do, Callable[[], None]] = {
-            Do.SPAWN: self._spawn, Do.GIVE: self._give, Do.PAUSE: self._pause, Do.SAY_GO: self._go,
-            Do.DRAIN: self._drain, Do.KILL: self._kill, Do.LOOK: self._look, Do.RESUME: self._resume,
-            Do.TELL: self._tell, Do.REFUSE: self._refuse, Do.STOP: self._stop, Do.FINISH: self._finish,
-            Do.SAY_HELLO: lambda: self._say(Hello(PROTOCOL, os.getpid())), Do.ADOPT: self._adopt,
-            Do.SAY_READY: lambda: self._say(Ready()), Do.SAY_SERVES: self._serves,
-            Do.SAY_ENDING: self._ending, Do.HANG_UP: self._hang_up, Do.FORGET: self._forget,
-            Do.QUIT: self._quit}
+            Do.SPAWN: self._spawn,
+            Do.GIVE: self._give,
+            Do.PAUSE: self._pause,
+            Do.SAY_GO: self._go,
+            Do.DRAIN: self._drain,
+            Do.KILL: self._kill,
+            Do.LOOK: self._look,
+            Do.RESUME: self._resume,
+            Do.TELL: self._tell,
+            Do.REFUSE: self._refuse,
+            Do.STOP: self._stop,
+            Do.FINISH: self._finish,
+            Do.SAY_HELLO: lambda: self._say(Hello(PROTOCOL, os.getpid())),
+            Do.ADOPT: self._adopt,
+            Do.SAY_READY: lambda: self._say(Ready()),
+            Do.SAY_SERVES: self._serves,
+            Do.SAY_ENDING: self._ending,
+            Do.HANG_UP: self._hang_up,
+            Do.FORGET: self._forget,
+            Do.QUIT: self._quit,
+        }
 
     # Its start, signals and end.
 
@@ -327,11 +358,14 @@
         try:
             # Of our own, for Twisted would shut one of its own down for the successor too.
             listener = listener or socket.create_server(
-                (host, port), family=socket.AF_INET6 if ":" in host else socket.AF_INET,
-                backlog=self._node.limits.backlog)
+                (host, port),
+                family=socket.AF_INET6 if ":" in host else socket.AF_INET,
+                backlog=self._node.limits.backlog,
+            )
         except OSError as error:
             raise CannotListenError(  # type: ignore[no-untyped-call]  # nor that
-                host, port, error) from None
+                host, port, error
+            ) from None
         listener.setblocking(False)
         self._write_pid()  # before the log says that it listens
         self._node.start(listener)
@@ -394,8 +428,12 @@
         if state in (Old.GREETED, New.READY):
             return  # these share the time of the state before
         self._deadlines.drop(self._late)
-        waits: dict[Any, int] = {Old.STARTING: self._told.wait, Old.COMMITTED: SERVE_WITHIN,
-                                 Old.DRAINING: self._told.drain, New.ADOPTING: 2 * self._told.wait}
+        waits: dict[Any, int] = {
+            Old.STARTING: self._told.wait,
+            Old.COMMITTED: SERVE_WITHIN,
+            Old.DRAINING: self._told.drain,
+            New.ADOPTING: 2 * self._told.wait,
+        }
         self._late = self._deadlines.after(waits[state], self._is_late) if state in waits else None
 
     def _is_late(self) -> None:
@@ -517,8 +555,9 @@
         with theirs:
             env[SUCCESSOR] = str(theirs.fileno())
             try:
-                process = subprocess.Popen([sys.executable, *sys.orig_argv[1:]], env=env,
-                                           pass_fds=[theirs.fileno()])
+                process = subprocess.Popen(
+                    [sys.executable, *sys.orig_argv[1:]], env=env, pass_fds=[theirs.fileno()]
+                )
             except (OSError, ValueError, subprocess.SubprocessError) as error:
                 ours.close()
                 self._failed(f"can't be started: {error}")
@@ -554,13 +593,13 @@
 
     def _say_ids(self, ids: Sequence[str], are_open: bool) -> None:
         for at in range(0, len(ids), IDS_EACH):
-            self._say(Ids(list(ids[at:at + IDS_EACH]), are_open))
+            self._say(Ids(list(ids[at : at + IDS_EACH]), are_open))
 
     def _pause(self) -> None:
         self._node.pause()
 
     def _go(self) -> None:
-        self._say_ids(self._ended_since[-self._node.limits.remembered:], False)
+        self._say_ids(self._ended_since[-self._node.limits.remembered :], False)
         self._say_ids(self._flows.open_ids(), True)
         self._ended_since = []
         self._both()
@@ -634,8 +673,9 @@
         try:
             if not sockets or len(sockets) != self._message.sockets:
                 raise OSError(f"{len(sockets)} of {self._message.sockets} sockets came")
-            self._node.adopt(sockets[0], sockets[1] if len(sockets) > 1 else None, self._message.listing,
-                             paused=True)
+            self._node.adopt(
+                sockets[0], sockets[1] if len(sockets) > 1 else None, self._message.listing, paused=True
+            )
             self._step("listening")
             if self._node.keeper is not None and self._message.data:
                 self._node.keeper.recall(self._message.data)
--- a/violetsaddle/net/warmth.py
+++ b/violetsaddle/net/warmth.py
@@ -86,8 +86,9 @@
     def __init__(self, node: Node, told: Restart, disk: Disk | None, elsewhere: Elsewhere) -> None:
         self._node, self._told, self._disk, self._elsewhere = node, told, disk, elsewhere
         config = node.config
-        self._digest = snapshots.digest((config.told, config.classes, config.tenants, config.zones,
-                                         config.kinds, config.fields))
+        self._digest = snapshots.digest(
+            (config.told, config.classes, config.tenants, config.zones, config.kinds, config.fields)
+        )
         self._most_age = int(told.believe_s * SECOND)
         self._listing = memory.Listing()
         node.discovery.seen.append(self._listing.take)
@@ -106,8 +107,9 @@
         """What is known now, as bytes that `recall` takes."""
         node, listing = self._node, self._listing
         unix = node.clock.unix()
-        made = node.flows.consult(lambda balancer, now: memory.learned(
-            balancer, now, unix, node.flows.ids(), listing.whole()))
+        made = node.flows.consult(
+            lambda balancer, now: memory.learned(balancer, now, unix, node.flows.ids(), listing.whole())
+        )
         made.source = listing.source
         return snapshots.encode(made, self._digest, self._told.snapshot_most_kb << 10)
 
@@ -144,15 +146,18 @@
                 listing = None
                 node.counters.say(f"snapshot: its list is none: {error}"[:300])
         found = self._believed = node.flows.consult(
-            lambda balancer, now: memory.believe(balancer, old, now, unix, self._most_age))
+            lambda balancer, now: memory.believe(balancer, old, now, unix, self._most_age)
+        )
         ids = f"{len(old.ids)} ids" + (f", list {listing['version']}" if listing is not None else "")
         if found.why:
             node.counters.add("snapshot_too_old")
             node.counters.say(f"snapshot: {found.why}: not believed but for {ids}")
             return
         node.counters.add("snapshot_believed")
-        node.counters.say(f"snapshot: {found.age / SECOND:.1f} s old, believed in {found.values} values, for "
-                          f"{found.boxes} servers ({found.passed} passed over), {ids}")
+        node.counters.say(
+            f"snapshot: {found.age / SECOND:.1f} s old, believed in {found.values} values, for "
+            f"{found.boxes} servers ({found.passed} passed over), {ids}"
+        )
 
     def _later(self) -> None:
         self._node.deadlines.after(int(self._told.snapshot_every_s * SECOND), self._due)
@@ -189,8 +194,11 @@
             counters.add("snapshots_failed")
             if not self._failing:
                 why = getattr(error, "strerror", None) or f"{type(error).__name__}: {error}"
-                counters.say(f"snapshot: can't be written: {why} (tried again each "
-                             f"{self._told.snapshot_every_s:g} s)"[:300])
+                counters.say(
+                    f"snapshot: can't be written: {why} (tried again each {self._told.snapshot_every_s:g} s)"[
+                        :300
+                    ]
+                )
         self._failing = error is not None
         if self._closed:
             self._finish()
@@ -247,15 +255,20 @@
 
     def _believe(self, asking: warmth.Asking) -> None:
         node = self._node
-        found: Believed = node.flows.consult(lambda balancer, now: warmth.believe(
-            balancer, asking.take(now), now, self._began, balancer.fleet.slots != self._slots))
+        found: Believed = node.flows.consult(
+            lambda balancer, now: warmth.believe(
+                balancer, asking.take(now), now, self._began, balancer.fleet.slots != self._slots
+            )
+        )
         if found.why:
             node.counters.add("warm_unanswered")
             node.counters.say(f"warm start: {found.why}")
             return
         node.counters.add("warm_believed")
-        node.counters.say(f"warm start: {asking.answered} peers, {found.age / SECOND:.1f} s old, believed in "
-                          f"{found.values} values, for {found.boxes} servers")
+        node.counters.say(
+            f"warm start: {asking.answered} peers, {found.age / SECOND:.1f} s old, believed in "
+            f"{found.values} values, for {found.boxes} servers"
+        )
 
     def _aside(self, origin: int, data: bytes) -> bool:
         """A datagram from a peer; whether it is one of these."""
@@ -266,7 +279,8 @@
             return True
         if data[1] == warmth.QUESTION:
             answers: list[bytes] = node.flows.consult(
-                lambda balancer, now: answering.answer(balancer, now, origin, data))
+                lambda balancer, now: answering.answer(balancer, now, origin, data)
+            )
             for answer in answers:
                 node.counters.add("warm_answers")
                 peers.say(origin, answer)
@@ -276,5 +290,3 @@
             self._asking.hear(node.deadlines.now(), origin, data)
             self._pump()
         return True
-
-
--- a/violetsaddle/operator.py
+++ b/violetsaddle/operator.py
@@ -83,8 +83,12 @@
     farewell_ms: Ms = NodeLimits.farewell // MS
 
     def __post_init__(self) -> None:
-        for low, high in (("edge_settled_ms", "edge_first_ms"), ("linger_ms", "keep_asking_ms"),
-                          ("keep_asking_ms", "keep_idle_ms"), ("keep_idle_ms", "last_word_ms")):
+        for low, high in (
+            ("edge_settled_ms", "edge_first_ms"),
+            ("linger_ms", "keep_asking_ms"),
+            ("keep_asking_ms", "keep_idle_ms"),
+            ("keep_idle_ms", "last_word_ms"),
+        ):
             least, value = getattr(self, low), getattr(self, high)
             if value < least:
                 raise Mismatch(high, f"expected at least {low} ({least}), not {value}")
@@ -212,14 +216,22 @@
         what = "a whole number" if isinstance(kind, msgspec.inspect.IntType) else "a number"
         bounds = (("from", kind.ge), ("above", kind.gt), ("to", kind.le), ("below", kind.lt))
         return " ".join([what, *(f"{word} {bound}" for word, bound in bounds if bound is not None)])
-    words: dict[type, str] = {msgspec.inspect.StrType: "a text", msgspec.inspect.BoolType: "true or false",
-                              msgspec.inspect.StructType: "a table", msgspec.inspect.ListType: "a list"}
+    words: dict[type, str] = {
+        msgspec.inspect.StrType: "a text",
+        msgspec.inspect.BoolType: "true or false",
+        msgspec.inspect.StructType: "a table",
+        msgspec.inspect.ListType: "a list",
+    }
     return words.get(type(kind), "another type")
 
 
 def _short(value: object) -> str:
     """A value as TOML would write it, near enough, and never long."""
     shown: dict[type, Callable[[Any], str]] = {
-        bool: lambda v: str(v).lower(), str: lambda v: f'"{v[:60]}"', dict: lambda _: "a table",
-        list: lambda _: "a list", int: lambda v: str(v) if abs(v) < 10**30 else "a number that large"}
+        bool: lambda v: str(v).lower(),
+        str: lambda v: f'"{v[:60]}"',
+        dict: lambda _: "a table",
+        list: lambda _: "a list",
+        int: lambda v: str(v) if abs(v) < 10**30 else "a number that large",
+    }
     return shown.get(type(value), str)(value)[:80]
--- a/violetsaddle/settings.py
+++ b/violetsaddle/settings.py
@@ -8,8 +8,14 @@
 from violetsaddle import interface as api
 
 EFFECT = {"retryable": api.SAFE, "dedup": api.KEYED, "fragile": api.UNSAFE}
-RENAMED = {"outstanding": "inflight", "backlog": "queue", "utilization": "util", "recent_ms": "latency_ms",
-           "errors_per_s": "eps", "throughput": "qps"}
+RENAMED = {
+    "outstanding": "inflight",
+    "backlog": "queue",
+    "utilization": "util",
+    "recent_ms": "latency_ms",
+    "errors_per_s": "eps",
+    "throughput": "qps",
+}
 
 
 def _number(table: dict[str, Any], key: str, default: float | None, path: str = "") -> float:
@@ -50,9 +56,13 @@
         raise api.SettingsError(f"setting {path}idempotency is unknown: {effect!r}")
     stretch = _place(_list(info, "classStretch"), index, _number(spec, "aimStretch", 0.0, path))
     return api.RequestClass(
-        aim=_whole(spec, "target", None, path), deadline=_whole(spec, "deadline", None, path),
-        effect=EFFECT[effect], group=spec.get("group") or "all",
-        window=_whole(spec, "dedupWindow", 0, path), stretch=stretch, stream=bool(spec.get("stream")),
+        aim=_whole(spec, "target", None, path),
+        deadline=_whole(spec, "deadline", None, path),
+        effect=EFFECT[effect],
+        group=spec.get("group") or "all",
+        window=_whole(spec, "dedupWindow", 0, path),
+        stretch=stretch,
+        stream=bool(spec.get("stream")),
         worker_kind=int(_place(_list(info, "classKind"), index, -1)),
     )
 
@@ -79,22 +89,38 @@
         classes=tuple(_class(c, i, info) for i, c in enumerate(_list(env, "requestClasses"))),
         tenants=tuple(
             api.Tenant(_number(t, "share", 1.0, "tenants."), _number(t, "allowancePerS", 0.0, "tenants."))
-            for t in _list(env, "tenants")) or (api.Tenant(),),
-        zones=max(1, len(_list(env, "failureDomains"))), zone=_whole(env, "zone", 0),
-        kinds=max(1, len(_list(env, "kinds"))), me=_whole(env, "ordinal", 0),
-        schedulers=_whole(env, "siblings", 1), tick=_whole(env, "period", 1000),
-        must_ask=env.get("discovery") == "ask", live_weights=env.get("weights") == "live",
-        report=frozenset(fields.values()), report_by_probe=via == "pull",
-        tells_start=bool(info.get("tellsStart")), progress_every=_whole(info, "progress", 0),
-        may_probe=bool(allow.get("mayProbe")), may_tell=bool(allow.get("mayTell")),
-        may_cancel=bool(allow.get("cancel")), second_copies=bool(allow.get("secondCopies")),
-        may_advise=bool(allow.get("retryAfter")), most_advice=_whole(allow, "maxRetryAfter", 1_000_000),
-        most_attempts=_whole(allow, "mostTries", 3), keepalive=_whole(allow, "keepalive", 10_000_000),
+            for t in _list(env, "tenants")
+        )
+        or (api.Tenant(),),
+        zones=max(1, len(_list(env, "failureDomains"))),
+        zone=_whole(env, "zone", 0),
+        kinds=max(1, len(_list(env, "kinds"))),
+        me=_whole(env, "ordinal", 0),
+        schedulers=_whole(env, "siblings", 1),
+        tick=_whole(env, "period", 1000),
+        must_ask=env.get("discovery") == "ask",
+        live_weights=env.get("weights") == "live",
+        report=frozenset(fields.values()),
+        report_by_probe=via == "pull",
+        tells_start=bool(info.get("tellsStart")),
+        progress_every=_whole(info, "progress", 0),
+        may_probe=bool(allow.get("mayProbe")),
+        may_tell=bool(allow.get("mayTell")),
+        may_cancel=bool(allow.get("cancel")),
+        second_copies=bool(allow.get("secondCopies")),
+        may_advise=bool(allow.get("retryAfter")),
+        most_advice=_whole(allow, "maxRetryAfter", 1_000_000),
+        most_attempts=_whole(allow, "mostTries", 3),
+        keepalive=_whole(allow, "keepalive", 10_000_000),
         connect_timeout=_whole(allow, "dialTimeout", 250_000),
-        drain_grace=_whole(safety, "drainGrace", 1_000_000), cold_from=_number(safety, "coldFrom", 1.0),
-        cold_for=_whole(safety, "cold", 0), fall_multiple=_number(safety, "fallMultiple", 3.0),
-        fall_after=_whole(safety, "tipAfter", 2_000_000), ask_within=_whole(safety, "askEvery", 10_000_000),
-        cross_zone_price=_number(tariffs, "crossZone", 0.0), fetch_price=_number(tariffs, "origin", 0.0),
+        drain_grace=_whole(safety, "drainGrace", 1_000_000),
+        cold_from=_number(safety, "coldFrom", 1.0),
+        cold_for=_whole(safety, "cold", 0),
+        fall_multiple=_number(safety, "fallMultiple", 3.0),
+        fall_after=_whole(safety, "tipAfter", 2_000_000),
+        ask_within=_whole(safety, "askEvery", 10_000_000),
+        cross_zone_price=_number(tariffs, "crossZone", 0.0),
+        fetch_price=_number(tariffs, "origin", 0.0),
     )
 
 
--- a/violetsaddle/store/snapshots.py
+++ b/violetsaddle/store/snapshots.py
@@ -56,7 +56,7 @@
     memory = msgspec.structs.replace(memory, boxes=foremost(boxes, max(0, fits)))
     data = _packed(memory, settings)
     while len(data) > most and memory.ids:
-        memory = msgspec.structs.replace(memory, ids=memory.ids[len(memory.ids) // 2 + 1:])
+        memory = msgspec.structs.replace(memory, ids=memory.ids[len(memory.ids) // 2 + 1 :])
         data = _packed(memory, settings)
     return data
 
@@ -84,7 +84,7 @@
     if under != settings:
         raise Damaged("it was made under other settings")
     try:
-        return msgspec.msgpack.decode(data[HEAD.size:-DIGEST], type=Memory)
+        return msgspec.msgpack.decode(data[HEAD.size : -DIGEST], type=Memory)
     except (msgspec.DecodeError, ValueError, RecursionError) as wrong:
         raise Damaged(" ".join(f"its body can't be read: {wrong}".split())[:200]) from None
 
@@ -115,7 +115,7 @@
             step("write")
             rest = memoryview(data)
             while rest:
-                rest = rest[os.write(file, rest):]
+                rest = rest[os.write(file, rest) :]
                 step("written")
             os.fsync(file)
             step("synced")
--- a/violetsaddle/world/boxes.py
+++ b/violetsaddle/world/boxes.py
@@ -101,11 +101,39 @@
 class Run:
     """One scheduling at a box.  `link` belongs to whoever handed it in: its connection."""
 
-    __slots__ = ("number", "box", "life", "txn", "item", "node", "until", "state", "link", "effect", "goal",
-                 "from_v", "left", "resumed", "saved", "first", "digest", "fails")
-
-    def __init__(self, number: int, box: Box, txn: str, item: Item, node: int, until: int, link: object,
-                 effect: str, digest: int) -> None:
+    __slots__ = (
+        "number",
+        "box",
+        "life",
+        "txn",
+        "item",
+        "node",
+        "until",
+        "state",
+        "link",
+        "effect",
+        "goal",
+        "from_v",
+        "left",
+        "resumed",
+        "saved",
+        "first",
+        "digest",
+        "fails",
+    )
+
+    def __init__(
+        self,
+        number: int,
+        box: Box,
+        txn: str,
+        item: Item,
+        node: int,
+        until: int,
+        link: object,
+        effect: str,
+        digest: int,
+    ) -> None:
         self.number, self.box, self.life, self.txn, self.item = number, box, box.life, txn, item
         self.node, self.until, self.link, self.effect, self.digest = node, until, link, effect, digest
         self.state = State.COMING
@@ -301,8 +329,9 @@
         most = self._cold * whole + self._gain * whole * whole / 2
         if grown >= most:
             return self._warm_at + ceil(grown - most)
-        return self._born + ceil((sqrt(self._cold * self._cold + 2 * self._gain * grown) - self._cold)
-                                 / self._gain)
+        return self._born + ceil(
+            (sqrt(self._cold * self._cold + 2 * self._gain * grown) - self._cold) / self._gain
+        )
 
     def _sync(self, now: int) -> None:
         """Brings everything up to `now`, before anything changes."""
@@ -546,14 +575,24 @@
 
     # Runs.
 
-    def come(self, now: int, txn: str, item: Item, node: int, remaining: int, link: object,
-             delay: int = 0) -> Run:
+    def come(
+        self, now: int, txn: str, item: Item, node: int, remaining: int, link: object, delay: int = 0
+    ) -> Run:
         """A scheduling's last byte has come; it is taken up `delay` later, once the handshake is through."""
         self._sync(now)
         self._count += 1
         number = self.index << 24 | self._count
-        run = Run(number, self, txn, item, node, now + remaining, link, self._effects[item.cls],
-                  xxh64_intdigest(b"%d/%d" % (self._seed, number)))
+        run = Run(
+            number,
+            self,
+            txn,
+            item,
+            node,
+            now + remaining,
+            link,
+            self._effects[item.cls],
+            xxh64_intdigest(b"%d/%d" % (self._seed, number)),
+        )
         self._runs.setdefault(txn, []).append(run)
         if self._warming and self._pushed_over(now, node, item.work):
             return run
@@ -621,8 +660,9 @@
     def _enqueue(self, run: Run) -> None:
         run.state = MOVES[run.state, Step.QUEUE]
         if run.effect == SAFE:
-            run.resumed = run.saved = min(float(run.item.work),
-                                          self.groups.resume(self.spec.hall, run.item.number))
+            run.resumed = run.saved = min(
+                float(run.item.work), self.groups.resume(self.spec.hall, run.item.number)
+            )
             run.left -= run.resumed
         self._queue.append(run)
         self.waiting += run.item.slots
@@ -799,7 +839,8 @@
         before = 0.0
         if self.free < slots:
             v = self._v + self._pace * (
-                self._grown(now) - self._grown(self._now) if self._warming else now - self._now)
+                self._grown(now) - self._grown(self._now) if self._warming else now - self._now
+            )
             ahead = self._left_running - self._count_running * v + self._left_waiting
             before = max(0.0, ahead) / self.spec.slots
         needed = (before + work) / pace
@@ -840,8 +881,9 @@
             downs.append((at, until, -1, "crash"))
         elif trouble.kind == "flap":
             every = max(1, int(trouble.factor * SECOND))
-            downs += [(since, min(until, since + every), -1, "crash")
-                      for since in range(at, until, 2 * every)]
+            downs += [
+                (since, min(until, since + every), -1, "crash") for since in range(at, until, 2 * every)
+            ]
         elif trouble.kind == "cold":
             downs.append((at + int((until - at) * RESTART_STOPS), until, at, "stop"))
         elif trouble.kind == "drain":
--- a/violetsaddle/world/clients.py
+++ b/violetsaddle/world/clients.py
@@ -32,7 +32,7 @@
     """The mean work of the class's jobs with the tail cut at `heaviest`, microseconds."""
     if cls.sigma <= 0:
         return float(min(cls.mean_work, heaviest(cls)))
-    middle, most = math.log(cls.mean_work) - cls.sigma ** 2 / 2, heaviest(cls)
+    middle, most = math.log(cls.mean_work) - cls.sigma**2 / 2, heaviest(cls)
 
     def below(z: float) -> float:
         return (1 + math.erf(z / math.sqrt(2))) / 2
@@ -71,13 +71,13 @@
     """Slices of one block that holds any bytes, among them what looks like the end of a head."""
     block = bytearray(random.bytes(BLOCK))
     for at in range(0, BLOCK - 64, 997):
-        block[at:at + 23] = b"\r\n\r\nHTTP/1.1 200 OK\r\n\r\n"
+        block[at : at + 23] = b"\r\n\r\nHTTP/1.1 200 OK\r\n\r\n"
     whole = bytes(block)
     sizes = random.integers(16, 400, count)
     large = random.random(count) < LARGE
     sizes[large] = random.integers(4096, 32 * 1024, int(large.sum()))
     starts = (random.random(count) * (BLOCK - sizes)).astype(np.int64)
-    return [whole[a:a + n] for a, n in zip(starts.tolist(), sizes.tolist())]
+    return [whole[a : a + n] for a, n in zip(starts.tolist(), sizes.tolist())]
 
 
 class _Part(NamedTuple):
@@ -106,7 +106,7 @@
     cls = _choose(random, [c.share for c in day.classes], count)
     kinds = np.asarray(cls, dtype=np.int64)
     sigma = np.array([max(0.0, c.sigma) for c in day.classes])
-    middle = np.array([math.log(c.mean_work) for c in day.classes]) - sigma ** 2 / 2
+    middle = np.array([math.log(c.mean_work) for c in day.classes]) - sigma**2 / 2
     most = np.array([heaviest(c) for c in day.classes], dtype=np.float64)
     deadline = np.array([c.deadline for c in day.classes], dtype=np.float64)
     work = np.exp(middle[kinds] + sigma[kinds] * random.standard_normal(count))
@@ -121,9 +121,18 @@
     patience = np.where(early, 20 * MS * span ** random.random(count), 0)
     tenant = _choose(random, [t.traffic for t in day.tenants], count)
     hall = _choose(random, load.halls, count)
-    return _Part(times.astype(np.int64).tolist(), cls, tenant, hall, work.astype(np.int64).tolist(),
-                 hint.astype(np.int64).tolist(), subject.astype(np.int64).tolist(), heeds.tolist(),
-                 patience.astype(np.int64).tolist(), _bodies(random, count))
+    return _Part(
+        times.astype(np.int64).tolist(),
+        cls,
+        tenant,
+        hall,
+        work.astype(np.int64).tolist(),
+        hint.astype(np.int64).tolist(),
+        subject.astype(np.int64).tolist(),
+        heeds.tolist(),
+        patience.astype(np.int64).tolist(),
+        _bodies(random, count),
+    )
 
 
 _last: list[tuple[Day, list[Item]]] = []
@@ -155,8 +164,7 @@
     for number, trouble in enumerate(t for t in bursts if t.factor < 1):
         spared = chance(day.seed, "items", "lull", number).random(len(base)) < trouble.factor
         kept &= spared | (base < trouble.at) | (base >= trouble.until)
-    places = [(part.at[i], p, i) for p, part in enumerate(parts) for i in range(len(part.at))
-              if p or kept[i]]
+    places = [(part.at[i], p, i) for p, part in enumerate(parts) for i in range(len(part.at)) if p or kept[i]]
     places.sort()
     keyed = [c.effect == KEYED for c in day.classes]
     slots = [c.slots for c in day.classes]
@@ -166,9 +174,23 @@
         part = parts[p]
         cls = part.cls[i]
         key = xxh64_hexdigest(b"%d/key/%d/%d" % (day.seed, p, i)) if keyed[cls] else ""
-        found.append(Item(
-            number, at, cls, part.tenant[i], part.hall[i], part.work[i], part.hint[i], slots[cls], key,
-            f"{part.subject[i]:x}" if named else "", part.heeds[i], part.patience[i], part.body[i]))
+        found.append(
+            Item(
+                number,
+                at,
+                cls,
+                part.tenant[i],
+                part.hall[i],
+                part.work[i],
+                part.hint[i],
+                slots[cls],
+                key,
+                f"{part.subject[i]:x}" if named else "",
+                part.heeds[i],
+                part.patience[i],
+                part.body[i],
+            )
+        )
     return found
 
 
@@ -187,8 +209,7 @@
             used = [0] * len(day.tenants)
             left = [int(t.allowance_per_s * (now + 1)) - int(t.allowance_per_s * now) for t in day.tenants]
         used[item.tenant] += 1
-        within.append(day.tenants[item.tenant].allowance_per_s <= 0
-                      or used[item.tenant] <= left[item.tenant])
+        within.append(day.tenants[item.tenant].allowance_per_s <= 0 or used[item.tenant] <= left[item.tenant])
     return within
 
 
--- a/violetsaddle/world/day.py
+++ b/violetsaddle/world/day.py
@@ -212,21 +212,52 @@
     effects = {SAFE: "retryable", KEYED: "dedup", UNSAFE: "fragile"}
     return {
         "requestClasses": [
-            {"name": c.name, "target": c.aim, "deadline": c.deadline, "idempotency": effects[c.effect],
-             "group": c.group, "dedupWindow": c.window} for c in day.classes],
-        "tenants": [{"name": t.name, "share": t.share, "allowancePerS": t.allowance_per_s}
-                    for t in day.tenants],
-        "failureDomains": list(day.halls), "zone": day.nodes[node], "kinds": [k.name for k in day.kinds],
-        "ordinal": node, "siblings": len(day.nodes), "period": 1000, "discovery": "ask", "weights": "silent",
+            {
+                "name": c.name,
+                "target": c.aim,
+                "deadline": c.deadline,
+                "idempotency": effects[c.effect],
+                "group": c.group,
+                "dedupWindow": c.window,
+            }
+            for c in day.classes
+        ],
+        "tenants": [
+            {"name": t.name, "share": t.share, "allowancePerS": t.allowance_per_s} for t in day.tenants
+        ],
+        "failureDomains": list(day.halls),
+        "zone": day.nodes[node],
+        "kinds": [k.name for k in day.kinds],
+        "ordinal": node,
+        "siblings": len(day.nodes),
+        "period": 1000,
+        "discovery": "ask",
+        "weights": "silent",
         "report": {"names": ["x0", "utilization", "errors_per_s"], "via": "pull"},
-        "familyInfo": {"reportX0": "free slots", "tellsStart": True, "progress": rules.progress_every,
-                       "classStretch": [c.stretch for c in day.classes]},
-        "permissions": {"mayProbe": rules.probes, "mayTell": rules.tellings, "cancel": rules.cancel,
-                        "secondCopies": False, "retryAfter": rules.advice,
-                        "maxRetryAfter": day.load.most_wait, "mostTries": rules.most_attempts,
-                        "dialTimeout": rules.dial,
-                        "keepalive": min((b.keepalive for b in day.boxes), default=10 * SECOND)},
-        "safety": {"drainGrace": rules.drain_grace, "coldFrom": rules.cold_from, "cold": rules.cold_for,
-                   "fallMultiple": rules.fall_multiple, "tipAfter": rules.fall_after,
-                   "askEvery": rules.ask_within, "graceToAnswer": rules.grace_to_answer},
+        "familyInfo": {
+            "reportX0": "free slots",
+            "tellsStart": True,
+            "progress": rules.progress_every,
+            "classStretch": [c.stretch for c in day.classes],
+        },
+        "permissions": {
+            "mayProbe": rules.probes,
+            "mayTell": rules.tellings,
+            "cancel": rules.cancel,
+            "secondCopies": False,
+            "retryAfter": rules.advice,
+            "maxRetryAfter": day.load.most_wait,
+            "mostTries": rules.most_attempts,
+            "dialTimeout": rules.dial,
+            "keepalive": min((b.keepalive for b in day.boxes), default=10 * SECOND),
+        },
+        "safety": {
+            "drainGrace": rules.drain_grace,
+            "coldFrom": rules.cold_from,
+            "cold": rules.cold_for,
+            "fallMultiple": rules.fall_multiple,
+            "tipAfter": rules.fall_after,
+            "askEvery": rules.ask_within,
+            "graceToAnswer": rules.grace_to_answer,
+        },
     }
--- a/violetsaddle/world/roster.py
+++ b/violetsaddle/world/roster.py
@@ -152,8 +152,9 @@
         self._serving: Call | None = None
         self._parked: dict[Call, None] = {}
         self.is_up = True
-        self._bases = [len(self.changes) if held(day, n)[0] == self.version else 0
-                       for n in range(len(day.nodes))]
+        self._bases = [
+            len(self.changes) if held(day, n)[0] == self.version else 0 for n in range(len(day.nodes))
+        ]
         self._nodes = [_Node(base, 0) for base in self._bases]
         self.next: int | None = None
         self._plan(0)
@@ -175,8 +176,12 @@
             del self._processes[box]
             known = self.list.get(box)
             planned = what == "removed" or (known is not None and known.state == "draining")
-            self._later(now, spec.notice if planned else spec.silent_notice, "removed",
-                        Listed(box, "removed", started))
+            self._later(
+                now,
+                spec.notice if planned else spec.silent_notice,
+                "removed",
+                Listed(box, "removed", started),
+            )
         elif what == "silent":
             # To the roster a machine that says nothing is like one that has died.
             self._silent.add(box)
@@ -345,7 +350,7 @@
 
     def _tell(self, known: _Node, node: int, until: int, counted: bool) -> None:
         latest: dict[int, Listed] = {}
-        for change in self.changes[known.told:until]:
+        for change in self.changes[known.told : until]:
             latest.pop(change.entry.box, None)
             latest[change.entry.box] = change.entry
         known.told = max(known.told, until)
@@ -382,8 +387,11 @@
                 due.append(self._pending[0][0])
             if self._serving is not None:
                 due.append(self._free_at)
-            due += [call.at + self._spec.timeout for call in self._queue
-                    if call.state is State.QUEUED and not call.woken][:1]
+            due += [
+                call.at + self._spec.timeout
+                for call in self._queue
+                if call.state is State.QUEUED and not call.woken
+            ][:1]
             due += [call.at + call.wait for call in self._parked]
         due += [at for node in self._nodes if (at := self._counts_at(node)) is not None]
         self.next = max(now, min(due)) if due else None
--- a/violetsaddle/world/scenario.py
+++ b/violetsaddle/world/scenario.py
@@ -337,14 +337,19 @@
             continue
         low, high = spec.factor if isinstance(spec.factor, tuple) else (spec.factor, spec.factor)
         if kind.figured and not kind.least <= low <= high <= kind.most:
-            found.append(("factor", f"expected {kind.least:g} to {kind.most:g} for {name}, "
-                          f"got {low:g} to {high:g}"))
+            found.append(
+                ("factor", f"expected {kind.least:g} to {kind.most:g} for {name}, got {low:g} to {high:g}")
+            )
         if name in ("cut", "oneway") and len(scenario.fleet.halls) < 2:
             found.append(("kind", f"expected two halls at least for {name}"))
     partners = [k for other in scenario.troubles if not other.together_with for k in _kinds(other)]
     if spec.together_with and spec.together_with not in partners:
-        found.append(("together_with", f"expected the kind of a trouble that comes by itself, "
-                      f"got {spec.together_with}"))
+        found.append(
+            (
+                "together_with",
+                f"expected the kind of a trouble that comes by itself, got {spec.together_with}",
+            )
+        )
     return found
 
 
@@ -393,7 +398,7 @@
     exact = [w / sum(weights) * free for w in weights]
     found = [int(e) for e in exact]
     order = sorted(range(len(weights)), key=lambda i: (found[i] - exact[i], i))
-    for i in order[:free - sum(found)]:
+    for i in order[: free - sum(found)]:
         found[i] += 1
     return [least + f for f in found]
 
@@ -426,18 +431,27 @@
         spread = draw.real(given.spread) * float(draw.random.standard_normal())
         cores, before = kind.cores, draw.time((0.0, scenario.rules.cold_for_s), SECOND)
         joins, leaves = draw.time((0.1, 0.8), length), draw.time((0.2, 0.9), length)
-        found.append(BoxSpec(
-            name=f"s-{(i * 2654435761 + mask) & 0xFFFFFFFF:08x}", hall=by_hall[i], kind=by_kind[i],
-            cell=cells[i], cores=cores, speed=kind.speed * float(np.exp(spread)),
-            slots=max(1, round(cores * draw.real(given.slots_per_core))),
-            queue=round(cores * draw.real(given.queue_per_core)),
-            connections=max(1, round(cores * draw.real(spec.connections_per_core))),
-            handshake=draw.time(spec.handshake_work_us, 1), probe=draw.time(spec.probe_work_us, 1),
-            handshake_delay=draw.time(spec.handshake_delay_us, 1),
-            report_every=draw.time(spec.report_every_ms, MS), keepalive=keepalive,
-            started=joins if i in joining else -max(1, before) if i in young else 0,
-            joins=joins if i in joining else 0,
-            leaves=leaves if i in leaving and i not in joining else 0))
+        found.append(
+            BoxSpec(
+                name=f"s-{(i * 2654435761 + mask) & 0xFFFFFFFF:08x}",
+                hall=by_hall[i],
+                kind=by_kind[i],
+                cell=cells[i],
+                cores=cores,
+                speed=kind.speed * float(np.exp(spread)),
+                slots=max(1, round(cores * draw.real(given.slots_per_core))),
+                queue=round(cores * draw.real(given.queue_per_core)),
+                connections=max(1, round(cores * draw.real(spec.connections_per_core))),
+                handshake=draw.time(spec.handshake_work_us, 1),
+                probe=draw.time(spec.probe_work_us, 1),
+                handshake_delay=draw.time(spec.handshake_delay_us, 1),
+                report_every=draw.time(spec.report_every_ms, MS),
+                keepalive=keepalive,
+                started=joins if i in joining else -max(1, before) if i in young else 0,
+                joins=joins if i in joining else 0,
+                leaves=leaves if i in leaving and i not in joining else 0,
+            )
+        )
     return kinds, found
 
 
@@ -457,12 +471,22 @@
     found = []
     for number, cls in enumerate(scenario.classes):
         draw = _Draw(seed, "class", number)
-        found.append(ClassSpec(
-            name=cls.name, effect=cls.effect, share=draw.real(cls.share),
-            mean_work=max(clients.LEAST_WORK, draw.time(cls.work_ms, MS)), sigma=draw.real(cls.sigma),
-            aim=draw.time(cls.aim_ms, MS), stretch=draw.real(cls.stretch),
-            deadline=draw.time(cls.deadline_s, SECOND), worth=draw.real(cls.worth), group=cls.group,
-            window=draw.time(cls.window_s, SECOND), slots=draw.whole(cls.slots)))
+        found.append(
+            ClassSpec(
+                name=cls.name,
+                effect=cls.effect,
+                share=draw.real(cls.share),
+                mean_work=max(clients.LEAST_WORK, draw.time(cls.work_ms, MS)),
+                sigma=draw.real(cls.sigma),
+                aim=draw.time(cls.aim_ms, MS),
+                stretch=draw.real(cls.stretch),
+                deadline=draw.time(cls.deadline_s, SECOND),
+                worth=draw.real(cls.worth),
+                group=cls.group,
+                window=draw.time(cls.window_s, SECOND),
+                slots=draw.whole(cls.slots),
+            )
+        )
     total = sum(c.share for c in found)
     return [msgspec.structs.replace(c, share=c.share / total) for c in found]
 
@@ -472,28 +496,43 @@
     draw = _Draw(seed, "tenants")
     shares = [draw.real(t.share) for t in scenario.tenants]
     traffic = [share * draw.real(t.traffic) for share, t in zip(shares, scenario.tenants)]
-    return [TenantSpec(name=t.name, share=share / sum(shares), traffic=part / sum(traffic),
-                       allowance_per_s=allowed * share / sum(shares))
-            for t, share, part in zip(scenario.tenants, shares, traffic)]
+    return [
+        TenantSpec(
+            name=t.name,
+            share=share / sum(shares),
+            traffic=part / sum(traffic),
+            allowance_per_s=allowed * share / sum(shares),
+        )
+        for t, share, part in zip(scenario.tenants, shares, traffic)
+    ]
 
 
 def _links(scenario: Scenario, seed: int) -> LinkSpec:
     draw, spec = _Draw(seed, "links"), scenario.links
     return LinkSpec(
-        same=draw.time(spec.same_ms, MS), cross=draw.time(spec.cross_ms, MS),
-        client=draw.time(spec.client_ms, MS), jitter=draw.real(spec.jitter),
-        datagram_least=round(spec.datagram_ms[0] * MS), datagram_most=round(spec.datagram_ms[1] * MS),
-        datagram_loss=draw.real(spec.datagram_loss), datagram_twice=draw.real(spec.datagram_twice),
-        cut_bytes=draw.real(spec.cut_bytes))
+        same=draw.time(spec.same_ms, MS),
+        cross=draw.time(spec.cross_ms, MS),
+        client=draw.time(spec.client_ms, MS),
+        jitter=draw.real(spec.jitter),
+        datagram_least=round(spec.datagram_ms[0] * MS),
+        datagram_most=round(spec.datagram_ms[1] * MS),
+        datagram_loss=draw.real(spec.datagram_loss),
+        datagram_twice=draw.real(spec.datagram_twice),
+        cut_bytes=draw.real(spec.cut_bytes),
+    )
 
 
 def _roster(scenario: Scenario, seed: int) -> RosterSpec:
     draw, spec = _Draw(seed, "roster"), scenario.roster
     return RosterSpec(
-        notice=draw.time(spec.notice_s, SECOND), silent_notice=draw.time(spec.silent_notice_s, SECOND),
-        add=draw.time(spec.add_s, SECOND), period=max(1, draw.time(spec.period_ms, MS)),
-        capacity=draw.real(spec.capacity), call_lines=draw.whole(spec.call_lines),
-        timeout=draw.time(spec.timeout_ms, MS))
+        notice=draw.time(spec.notice_s, SECOND),
+        silent_notice=draw.time(spec.silent_notice_s, SECOND),
+        add=draw.time(spec.add_s, SECOND),
+        period=max(1, draw.time(spec.period_ms, MS)),
+        capacity=draw.real(spec.capacity),
+        call_lines=draw.whole(spec.call_lines),
+        timeout=draw.time(spec.timeout_ms, MS),
+    )
 
 
 def _rules(scenario: Scenario) -> Rules:
@@ -501,12 +540,20 @@
     return Rules(
         drain_grace=round(_top(spec.drain_grace_ms) * MS),
         grace_to_answer=round(_top(spec.grace_to_answer_ms) * MS),
-        cold_from=spec.cold_from, cold_for=round(_top(spec.cold_for_s) * SECOND),
-        fall_multiple=_top(spec.fall_multiple), fall_after=round(_top(spec.fall_after_s) * SECOND),
-        ask_within=round(_top(spec.ask_within_s) * SECOND), most_attempts=int(_top(spec.most_attempts)),
-        dial=round(_top(spec.dial_ms) * MS), slack=round(_top(spec.slack_ms) * MS), advice=spec.advice,
-        probes=spec.probes, tellings=spec.tellings, cancel=spec.cancel,
-        progress_every=round(_top(spec.progress_s) * SECOND))
+        cold_from=spec.cold_from,
+        cold_for=round(_top(spec.cold_for_s) * SECOND),
+        fall_multiple=_top(spec.fall_multiple),
+        fall_after=round(_top(spec.fall_after_s) * SECOND),
+        ask_within=round(_top(spec.ask_within_s) * SECOND),
+        most_attempts=int(_top(spec.most_attempts)),
+        dial=round(_top(spec.dial_ms) * MS),
+        slack=round(_top(spec.slack_ms) * MS),
+        advice=spec.advice,
+        probes=spec.probes,
+        tellings=spec.tellings,
+        cancel=spec.cancel,
+        progress_every=round(_top(spec.progress_s) * SECOND),
+    )
 
 
 def _one(scenario: Scenario, seed: int, place: int, day: Day, partner: Trouble | None) -> Trouble:
@@ -543,7 +590,7 @@
         # The highest of so many keys u ** (1 / weight) is a fair choice by weight without putting back.
         keys = [float(draw.random.random()) ** (1 / o) if o else -1.0 for o in odds]
         order = sorted(range(len(alone)), key=lambda n: -keys[n])
-        picked = [alone[n] for n in order[:draw.whole(scenario.trouble_count)] if keys[n] >= 0]
+        picked = [alone[n] for n in order[: draw.whole(scenario.trouble_count)] if keys[n] >= 0]
     found = [_one(scenario, seed, i, day, None) for i in sorted(picked)]
     for i, spec in enumerate(specs):
         partner = next((t for t in found if t.kind == spec.together_with), None)
@@ -552,8 +599,15 @@
     return sorted((t for t in found if t.at < day.length), key=lambda t: (t.at, t.until, t.kind))
 
 
-def draw(scenario: Scenario, seed: int, *, nodes: int | None = None, boxes: int | None = None,
-         rate: float | None = None, length: int | None = None) -> Day:
+def draw(
+    scenario: Scenario,
+    seed: int,
+    *,
+    nodes: int | None = None,
+    boxes: int | None = None,
+    rate: float | None = None,
+    length: int | None = None,
+) -> Day:
     """One day.  Given counts of nodes and boxes take the place of the drawn ones, and traffic follows what
     the boxes can do unless `rate` (jobs a second) says otherwise; `length` is in microseconds.
 
@@ -571,18 +625,38 @@
     wait = 0 if load.random.random() < load.real(spec.at_once) else load.time(spec.backoff_ms, MS)
     load = _Draw(seed, "clients")
     day = Day(
-        scenario=scenario.name, seed=seed, length=length, halls=fleet.halls,
-        nodes=tuple(i % len(fleet.halls) for i in range(nodes)), kinds=tuple(kinds), boxes=tuple(every),
-        classes=tuple(classes), tenants=tuple(_tenants(scenario, seed, allowed * can)),
-        links=_links(scenario, seed), roster=_roster(scenario, seed), rules=_rules(scenario),
+        scenario=scenario.name,
+        seed=seed,
+        length=length,
+        halls=fleet.halls,
+        nodes=tuple(i % len(fleet.halls) for i in range(nodes)),
+        kinds=tuple(kinds),
+        boxes=tuple(every),
+        classes=tuple(classes),
+        tenants=tuple(_tenants(scenario, seed, allowed * can)),
+        links=_links(scenario, seed),
+        roster=_roster(scenario, seed),
+        rules=_rules(scenario),
         load=LoadSpec(
-            rate=asked * can if rate is None else rate, swing=swing, period=max(1, period),
-            halls=tuple(_halls(seed, len(fleet.halls), nodes, uneven)), tries=load.whole(spec.tries),
-            backoff=wait, heeds=load.real(spec.heeds), most_wait=load.time(spec.most_wait_s, SECOND),
-            leaves=load.real(spec.leaves), hint_sigma=load.real(spec.hint_sigma), keys=load.whole(spec.keys),
-            connections=load.whole(spec.connections), notice=load.time(spec.notice_s, SECOND),
-            keeps=load.time(spec.keeps_s, SECOND), shuns=spec.shuns),
-        over_share_worth=_top(scenario.over_share_worth), sockets=int(_top(fleet.sockets)))
+            rate=asked * can if rate is None else rate,
+            swing=swing,
+            period=max(1, period),
+            halls=tuple(_halls(seed, len(fleet.halls), nodes, uneven)),
+            tries=load.whole(spec.tries),
+            backoff=wait,
+            heeds=load.real(spec.heeds),
+            most_wait=load.time(spec.most_wait_s, SECOND),
+            leaves=load.real(spec.leaves),
+            hint_sigma=load.real(spec.hint_sigma),
+            keys=load.whole(spec.keys),
+            connections=load.whole(spec.connections),
+            notice=load.time(spec.notice_s, SECOND),
+            keeps=load.time(spec.keeps_s, SECOND),
+            shuns=spec.shuns,
+        ),
+        over_share_worth=_top(scenario.over_share_worth),
+        sockets=int(_top(fleet.sockets)),
+    )
     day = msgspec.structs.replace(day, troubles=tuple(_troubles(scenario, seed, day)))
     troubles.check(day)
     return day
--- a/violetsaddle/world/troubles.py
+++ b/violetsaddle/world/troubles.py
@@ -80,20 +80,26 @@
     if kind is None:
         raise TroubleError(f"{trouble.kind}: there is no such kind of trouble")
     if not 0 <= trouble.at < trouble.until:
-        raise TroubleError(f"{trouble.kind}: must begin at 0 or later and end after that, "
-                           f"not from {trouble.at} to {trouble.until}")
+        raise TroubleError(
+            f"{trouble.kind}: must begin at 0 or later and end after that, "
+            f"not from {trouble.at} to {trouble.until}"
+        )
     counts = {BOXES: len(day.boxes), NODES: len(day.nodes), HALLS: len(day.halls)}
     for field, count in counts.items():
         named: tuple[int, ...] = getattr(trouble, field)
         if bool(named) != (field == kind.concerns):
-            raise TroubleError(f"{trouble.kind}: concerns {kind.concerns or 'no place'}, "
-                               f"so that its {field} must {'' if field == kind.concerns else 'not '}be named")
+            raise TroubleError(
+                f"{trouble.kind}: concerns {kind.concerns or 'no place'}, "
+                f"so that its {field} must {'' if field == kind.concerns else 'not '}be named"
+            )
         if len(set(named)) < len(named) or not all(0 <= index < count for index in named):
-            raise TroubleError(f"{trouble.kind}: {field} must be different numbers from 0 to {count - 1}, "
-                               f"not {list(named)}")
+            raise TroubleError(
+                f"{trouble.kind}: {field} must be different numbers from 0 to {count - 1}, not {list(named)}"
+            )
     if kind.figured and not kind.least <= trouble.factor <= kind.most:
-        raise TroubleError(f"{trouble.kind}: factor must be from {kind.least:g} to {kind.most:g}, "
-                           f"not {trouble.factor:g}")
+        raise TroubleError(
+            f"{trouble.kind}: factor must be from {kind.least:g} to {kind.most:g}, not {trouble.factor:g}"
+        )
     if trouble.kind in ("cut", "oneway") and len(day.halls) < 2:
         raise TroubleError(f"{trouble.kind}: needs two halls")
 
