--- a/violetsaddle/decide/replication_messages.py
+++ b/violetsaddle/decide/replication_messages.py
@@ -283,7 +283,7 @@
 
 
 class Committed(Struct, frozen=True, tag=True):
-    """The newest committed version is this one; the `Persist` before put it into the history. Wake watches."""
+    """The newest committed version is this one, by the `Persist` before in the history. Wake watches."""
 
     version: Version
 
