The decision module's plain data (worker, attempt, request, pool, bucket) in state.py

What decides nothing moves out as it is: records of workers, attempts and requests, the pool, the bucket's accrual and the hash. What may be taken from a tenant's bucket, and when a start counts as late, stay in policy.py.

--- a/benchmarks/counting.py
+++ b/benchmarks/counting.py
@@ -67,6 +67,7 @@
     ("violetsaddle/net/flows.py", "flows"),
     ("violetsaddle/policy", "module"),
     ("violetsaddle/interface", "module"),
+    ("violetsaddle/state", "module"),
     ("violetsaddle/net/reactor.py", "reactor"),
     ("violetsaddle/net/servers.py", "servers"),
     ("violetsaddle/net/deadlines.py", "deadlines"),
--- a/tests/helpers.py
+++ b/tests/helpers.py
@@ -6,7 +6,7 @@
 
 from violetsaddle import Balancer, Entry, RequestClass, Settings
 from violetsaddle.interface import KEYED, SAFE, UNSAFE
-from violetsaddle.policy import Worker
+from violetsaddle.state import Worker
 
 MS = 1_000
 SECOND = 1_000_000
--- a/tests/test_node.py
+++ b/tests/test_node.py
@@ -11,7 +11,7 @@
 from zlib import crc32
 
 from tests.scenario import SETTINGS, Line, Scenario, address, listener
-from violetsaddle.policy import mix
+from violetsaddle.state import mix
 
 TWO_TRIES = {"permissions": {**SETTINGS["permissions"], "mostTries": 2}}
 PROBING = {
--- a/tests/test_sizes.py
+++ b/tests/test_sizes.py
@@ -9,7 +9,7 @@
 from tests.helpers import make
 from tests.scenario import SETTINGS, Scenario
 from violetsaddle import Entry
-from violetsaddle.policy import mix
+from violetsaddle.state import mix
 
 MANY = 1024
 TIER: dict[str, Any] = {
