The encoding of what schedulers tell each other in gossip_codec.py

policy.py loses the packing of words and heads of datagrams and the order of schedulers by rendezvous hashing; what is told, to whom, and what is made of it stay.

--- a/benchmarks/counting.py
+++ b/benchmarks/counting.py
@@ -68,6 +68,7 @@
     ("violetsaddle/policy", "module"),
     ("violetsaddle/interface", "module"),
     ("violetsaddle/state", "module"),
+    ("violetsaddle/gossip_codec", "module"),
     ("violetsaddle/net/reactor.py", "reactor"),
     ("violetsaddle/net/servers.py", "servers"),
     ("violetsaddle/net/deadlines.py", "deadlines"),
--- a/violetsaddle/policy.py
+++ b/violetsaddle/policy.py
@@ -13,7 +13,8 @@
 from typing import Any
 
 from violetsaddle import interface as api
-from violetsaddle.state import Attempt, Bucket, Pool, Request, Worker, mix
+from violetsaddle.gossip_codec import MOST_WORDS, NARROW_MARK, decode, head, word
+from violetsaddle.state import Attempt, Bucket, Pool, Request, Worker, mix, ranks
 
 SECOND = 1_000_000  # microseconds
 # Buckets and the fleet's rate
@@ -37,7 +38,7 @@
 FULL_REST = SECOND // 4  # a worker that was full is left alone so long
 ABSENT = 10 * SECOND  # a scheduler silent for so long has no part in the budget of a cold worker
 TOLD_FOR, ILL_TOLD = 3 * SECOND, 2 * SECOND  # a peer lives so long after its last word; what it told is ill
-NARROW, MOST_WORDS = 128, 85  # workers named by 11 bits; words in one datagram (256 bytes at most)
+NARROW = 128  # workers named by 11 bits at most
 LAST_SLOT = 0.25  # weight of a worker that has room for no second one: another may be on its way there
 CIRCLE, ABROAD = 16, 4  # schedulers that hear of a worker where there are more; so many in other zones
 WORDS_WAIT, WORDS_EACH = SECOND // 50, SECOND // 400  # words gather so long, or so long for each that hears
@@ -243,8 +244,7 @@
     def _place(self, now: int, worker: Worker) -> None:
         """Finds a worker's circle and pools."""
         if self.circles:
-            all_ = worker.ranks = worker.ranks or sorted(range(len(self.hashes)), key=[
-                (worker.key ^ h) * 0x9E3779B97F4A7C15 & 0xFFFFFFFFFFFFFFFF for h in self.hashes].__getitem__)
+            all_ = worker.ranks = worker.ranks or ranks(worker.key, self.hashes)
             zone = worker.zone & 0xF if 2 * len(self.zone_of) > len(all_) else -1  # else each is first
             home = [n for n in all_ if self.zone_of.get(n) == zone]
             away = [n for n in all_ if self.zone_of.get(n) != zone]
@@ -268,9 +268,9 @@
             if self.circles and not ill and worker.inflight == worker.told and now - worker.told_at < TICK:
                 continue  # one came as another went
             worker.told, worker.told_at = worker.inflight, now
-            word = (worker.mark if wide else worker.mark & 0x7FF) << 5 | ill << 4 | min(worker.inflight, 15)
+            told = word(worker.mark, worker.inflight, ill, wide)
             for number in worker.circle if self.circles else (None,):
-                to.setdefault(number, bytearray()).extend(word.to_bytes(3 if wide else 2, "big"))
+                to.setdefault(number, bytearray()).extend(told)
         to.pop(self.told.me, None)
         for number, words in to.items():
             self._say(number, False, bytes(words))
@@ -280,37 +280,31 @@
 
     def _say(self, to: int | None, asks: bool = False, words: bytes = b"") -> None:
         """To one peer, or to all; in a large tier with the own zone, and whether theirs are asked for."""
-        wide = len(self.workers) > NARROW
-        head = wide | asks << 1 | (self.told.zone & 0xF) << 2 | 0x80 if self.circles else wide
-        self.act.tell(bytes((head,)) + words, to)
+        zone = self.told.zone if self.circles else None
+        self.act.tell(head(len(self.workers) > NARROW, zone, asks) + words, to)
 
     def heard(self, now: int, origin: int, data: bytes) -> None:
         """A peer's words; they may be late, lost, out of order, or no words at all."""
         known = 0 <= origin < self.told.schedulers and origin != self.told.me
-        if not known or not data or not (data[0] < 2 or data[0] & 0x80 and self.circles):
-            return
-        wide, size = len(self.workers) > NARROW, 2 + (data[0] & 1)
-        if len(data) % size != 1:
+        told = decode(data, len(self.workers) > NARROW, self.circles) if known else None
+        if told is None:
             return
         self.peers[origin] = now
-        if data[0] & 0x80:
-            zone = data[0] >> 2 & 0xF
-            self.zones_new |= self.zone_of.get(origin) != zone
-            self.zone_of[origin] = zone
-            if data[0] & 2:
+        if told.zone is not None:
+            self.zones_new |= self.zone_of.get(origin) != told.zone
+            self.zone_of[origin] = told.zone
+            if told.asks:
                 self._say(origin)
-        for at in range(1, len(data) if size >= 2 + wide else 0, size):
-            word = int.from_bytes(data[at:at + size], "big")
-            mark, jobs = (word >> 5) & (0xFFFF if wide else 0x7FF), word & 0xF
+        for mark, jobs, ill in told.words:
             self.elsewhere[mark] += jobs - self.words.pop((origin, mark), (0, 0))[1]
             if jobs:
                 self.words[origin, mark] = now, jobs
-            if word & 0x10:
+            if ill:
                 self.ill_told[mark] = now + ILL_TOLD
 
     def _busy(self, now: int, worker: Worker) -> tuple[int, bool]:
         """Jobs in flight at a worker, own and told; whether it is ill, by own or told experience."""
-        mark = worker.mark if len(self.workers) > NARROW else worker.mark & 0x7FF
+        mark = worker.mark if len(self.workers) > NARROW else worker.mark & NARROW_MARK
         busy = worker.inflight * (self.schedulers if self.alone else 1) + self.elsewhere[mark]
         return busy, worker.ill_until > now or self.ill_told.get(mark, 0) > now
 
--- a/violetsaddle/state.py
+++ b/violetsaddle/state.py
@@ -16,6 +16,12 @@
     return h ^ (h >> 29)
 
 
+def ranks(key: int, hashes: Sequence[int]) -> list[int]:
+    """The indices of `hashes` by rendezvous hashing: every scheduler finds the same order for a key."""
+    scores = [(key ^ h) * 0x9E3779B97F4A7C15 & 0xFFFFFFFFFFFFFFFF for h in hashes]
+    return sorted(range(len(hashes)), key=scores.__getitem__)
+
+
 class Bucket:
     """Tokens (slots) that accrue at a rate up to a burst; a rate of None has not been estimated yet."""
 
