--- a/violetsaddle/policy.py
+++ b/violetsaddle/policy.py
@@ -6,15 +6,13 @@
 
 from __future__ import annotations
 
-import heapq
 from collections import Counter
 from collections.abc import Sequence
 from random import Random
-from typing import Any
 
 from violetsaddle import interface as api
 from violetsaddle.gossip_codec import MOST_WORDS, NARROW_MARK, decode, head, word
-from violetsaddle.state import Attempt, Bucket, Pool, Request, Worker, mix, ranks
+from violetsaddle.state import Attempt, Bucket, Pool, Request, Timers, Worker, mix, ranks
 
 SECOND = 1_000_000  # microseconds
 # Buckets and the fleet's rate
@@ -133,11 +131,12 @@
         return self.rate
 
 
-class Balancer:
+class Balancer(Timers):
     """The decisions of one scheduler; its public methods are the events."""
 
     def __init__(self, told: api.Settings, seed: int, now: int, act: api.Actions) -> None:
-        self.told, self.act = told, act
+        super().__init__(act)
+        self.told = told
         self.random = Random(seed).random
         self.workers: dict[int, Worker] = {}
         self.everyone, self.near = Pool(), Pool()  # near: those this scheduler hears of
@@ -170,33 +169,13 @@
         self.reports = 0  # seen
         self.schedulers = told.schedulers
         self.speeds: dict[int, float] = {}  # mean by kind
-        self.timers: list[tuple[int, int, Any, Any]] = []
-        self.timer_number, self.armed, self.watch_fails, self.watching = 0, 0, 0, False
+        self.watch_fails, self.watching = 0, False
         self._after(now, int(TICK * (0.5 + self.random())), self._tick, None)
         if told.must_ask:  # a wave of restarts must not stampede discovery
             self._after(now, int(WATCH_SPREAD * self.random()), self._watch, None)
         if self.circles:
             self._after(now, self.words_wait, lambda *_: self._say(None, True), None)
 
-    def _after(self, now: int, wait: int, what: Any, about: Any) -> None:
-        at = now + max(1, wait)
-        self.timer_number += 1
-        heapq.heappush(self.timers, (at, self.timer_number, what, about))
-        if not self.armed or at < self.armed:
-            self.armed = at
-            self.act.arm(at)
-
-    def wake(self, now: int) -> None:
-        """The armed time has come; a wake that was overtaken by an earlier one does no harm."""
-        timers = self.timers
-        self.armed = self.armed if self.armed > now else 0
-        while timers and timers[0][0] <= now:
-            _, _, what, about = heapq.heappop(timers)
-            what(now, about)
-        if timers and (not self.armed or timers[0][0] < self.armed):
-            self.armed = timers[0][0]
-            self.act.arm(self.armed)
-
     def _tick(self, now: int, _: None) -> None:
         told = self.told
         self.own_rate += 0.4 * (self.arrived_slots / TICK - self.own_rate)
--- a/violetsaddle/state.py
+++ b/violetsaddle/state.py
@@ -4,7 +4,9 @@
 
 from __future__ import annotations
 
+import heapq
 from collections.abc import Sequence
+from typing import Any
 
 from violetsaddle import interface as api
 
@@ -142,3 +144,31 @@
 
     def tried(self, worker: Worker) -> bool:
         return any(a.worker.id == worker.id for a in self.attempts)  # back on the list it is another object
+
+
+class Timers:
+    """Calls that are due at a time, with what they are about; the nearest time is armed."""
+
+    def __init__(self, act: api.Actions) -> None:
+        self.act = act
+        self.timers: list[tuple[int, int, Any, Any]] = []
+        self.timer_number, self.armed = 0, 0
+
+    def _after(self, now: int, wait: int, what: Any, about: Any) -> None:
+        at = now + max(1, wait)
+        self.timer_number += 1
+        heapq.heappush(self.timers, (at, self.timer_number, what, about))
+        if not self.armed or at < self.armed:
+            self.armed = at
+            self.act.arm(at)
+
+    def wake(self, now: int) -> None:
+        """The armed time has come; a wake that was overtaken by an earlier one does no harm."""
+        timers = self.timers
+        self.armed = self.armed if self.armed > now else 0
+        while timers and timers[0][0] <= now:
+            _, _, what, about = heapq.heappop(timers)
+            what(now, about)
+        if timers and (not self.armed or timers[0][0] < self.armed):
+            self.armed = timers[0][0]
+            self.act.arm(self.armed)
