--- a/violetsaddle/policy.py
+++ b/violetsaddle/policy.py
@@ -82,8 +82,11 @@
 def may_refuse(request: Request) -> bool:
     """A refusal says that a repeat is harmless: not so once an effect may have happened."""
     spec = request.spec
-    return (spec.effect == api.SAFE or (spec.effect == api.KEYED and spec.group == "all")
-            or not any(a.may_have_run for a in request.attempts))
+    return (
+        spec.effect == api.SAFE
+        or (spec.effect == api.KEYED and spec.group == "all")
+        or not any(a.may_have_run for a in request.attempts)
+    )
 
 
 def send_by(request: Request) -> int:
@@ -183,8 +186,9 @@
         ready = {number: len(p.items) for (what, number), p in self.pools.items() if what == "kind"}
         jam = self.pressure > PRESSURE_SURE or (now < self.tight_until and not self.fleet.by_reports)
         # N as heard: who tells nothing is down, and its clients come here.  None heard yet: N as told.
-        heard = sum(now - self.peers.get((told.me - i) % told.schedulers, -TOLD_FOR) < TOLD_FOR
-                    for i in self.signs)
+        heard = sum(
+            now - self.peers.get((told.me - i) % told.schedulers, -TOLD_FOR) < TOLD_FOR for i in self.signs
+        )
         if self.peers and not self.alone:
             self.schedulers = round(told.schedulers * (1 + heard) / (1 + len(self.signs)))
         rate = self.fleet.estimate(ready, jam, self.own_rate * self.schedulers)
@@ -228,7 +232,7 @@
             home = [n for n in all_ if self.zone_of.get(n) == zone]
             away = [n for n in all_ if self.zone_of.get(n) != zone]
             most = CIRCLE - min(ABROAD, len(away))
-            worker.circle = home[:most] + away[:CIRCLE - len(home[:most])]
+            worker.circle = home[:most] + away[: CIRCLE - len(home[:most])]
             worker.near = self.told.me in worker.circle
         if worker.state == api.ACTIVE and worker.shut_until <= now:
             self._ready(worker)
@@ -323,8 +327,13 @@
         if worker is None:
             worker = self.workers[entry.worker] = Worker(entry)
             self._start(now, worker)
-        elif (worker.started != entry.started or worker.state != entry.state or worker.cell != entry.cell
-              or worker.zone != entry.zone or worker.kind != entry.kind):
+        elif (
+            worker.started != entry.started
+            or worker.state != entry.state
+            or worker.cell != entry.cell
+            or worker.zone != entry.zone
+            or worker.kind != entry.kind
+        ):
             self._remove(worker)
             restarted = entry.started != worker.started
             _, worker.zone, worker.cell, worker.kind, worker.weight, worker.started, worker.state = entry
@@ -480,8 +489,11 @@
         first = self._draw(now, pool, request.slots, request)
         second = self._draw(now, pool, request.slots, request)
         best = second if first is None or second and second.inflight < first.inflight else first
-        if self.circles and pool is self.near and (
-                best is None or self.crowd < CROWD_BLIND and self._load(now, best, request.slots) > 0.0):
+        if (
+            self.circles
+            and pool is self.near
+            and (best is None or self.crowd < CROWD_BLIND and self._load(now, best, request.slots) > 0.0)
+        ):
             best = self._draw(now, self.everyone, request.slots, request) or best
         return best
 
@@ -496,18 +508,30 @@
     def _may_go_to(self, request: Request, worker: Worker) -> bool:
         """Whether it discards what earlier attempts did; one moved under its id answers for neither place."""
         group = request.spec.group
-        return request.spec.effect != api.KEYED or group == "all" or all(
-            getattr(worker, group) == getattr(a, group)
-            == getattr(self.workers.get(a.worker.id, a.worker), group)
-            for a in request.attempts if a.may_have_run)
+        return (
+            request.spec.effect != api.KEYED
+            or group == "all"
+            or all(
+                getattr(worker, group)
+                == getattr(a, group)
+                == getattr(self.workers.get(a.worker.id, a.worker), group)
+                for a in request.attempts
+                if a.may_have_run
+            )
+        )
 
     def _choose_in_group(self, now: int, request: Request, risky: Attempt) -> Worker | None:
         group, kind = request.spec.group, request.spec.worker_kind
         items = self.pools.get((group, getattr(risky, group)), Pool()).items
         at, best = int(self.random() * len(items)), None
         for worker in (items[at:] + items[:at])[:LOOKS]:
-            if (self._may_go_to(request, worker) and kind in (-1, worker.kind) and not request.tried(worker)
-                    and worker.cold_until <= now and (best is None or worker.inflight < best.inflight)):
+            if (
+                self._may_go_to(request, worker)
+                and kind in (-1, worker.kind)
+                and not request.tried(worker)
+                and worker.cold_until <= now
+                and (best is None or worker.inflight < best.inflight)
+            ):
                 best = worker
         return best
 
@@ -517,8 +541,17 @@
             if worker is not None:
                 self.act.probe(worker.id)
 
-    def request(self, now: int, job: str, cls: int, remaining: int, tenant: int = 0, slots: float = 1.0,
-                key: int | None = None, hint: int = 0) -> None:
+    def request(
+        self,
+        now: int,
+        job: str,
+        cls: int,
+        remaining: int,
+        tenant: int = 0,
+        slots: float = 1.0,
+        key: int | None = None,
+        hint: int = 0,
+    ) -> None:
         """A client's request: admission, then the push."""
         if not 0 <= cls < len(self.told.classes) or not 0 <= tenant < len(self.buckets):
             raise api.EventError(f"request {job}: class {cls} or tenant {tenant} is not in the settings")
@@ -541,8 +574,11 @@
             return self.act.refuse(job, self._advice(bucket.wait(slots)))
         self.requests[job] = request
         self._push(now, request)
-        if self.told.may_probe and self.told.report_by_probe and (
-                not self.peers or self.random() < PROBES_LEAST or self.reports < REPORTS_ENOUGH):
+        if (
+            self.told.may_probe
+            and self.told.report_by_probe
+            and (not self.peers or self.random() < PROBES_LEAST or self.reports < REPORTS_ENOUGH)
+        ):
             self._ask_two(now)
 
     def _advice(self, wait: int) -> int:
@@ -616,10 +652,20 @@
             # Where most start late the fleet is full: a late start there is no evidence against one worker.
             if silent and self.pressure < PRESSURE_TIGHT:
                 self._strike(now, worker)
-        if (silent and not attempt.started and told.may_cancel and self.retries >= 1.0
-                and request.spec.effect != api.UNSAFE and len(request.attempts) < told.most_attempts
-                and (self.pressure < BLIND_MOVES or not self.alone or told.schedulers < 2  # else more work
-                     or 3 * (now - attempt.sent) >= request.deadline - attempt.sent)):
+        if (
+            silent
+            and not attempt.started
+            and told.may_cancel
+            and self.retries >= 1.0
+            and request.spec.effect != api.UNSAFE
+            and len(request.attempts) < told.most_attempts
+            and (
+                self.pressure < BLIND_MOVES
+                or not self.alone
+                or told.schedulers < 2  # else more work
+                or 3 * (now - attempt.sent) >= request.deadline - attempt.sent
+            )
+        ):
             # One copy at most may be out: a silent worker's job moves to one that can start it now.
             if (to := self._choose(now, request)) and self._load(now, to, request.slots) <= 0.0:
                 return self.act.cancel(request.id, attempt.number)
@@ -653,8 +699,16 @@
         if request is not None and not request.over:
             self._end(request)
 
-    def answer(self, now: int, job: str, number: int, outcome: str, latency: int, over: bool,
-               report: api.Report | None) -> None:
+    def answer(
+        self,
+        now: int,
+        job: str,
+        number: int,
+        outcome: str,
+        latency: int,
+        over: bool,
+        report: api.Report | None,
+    ) -> None:
         """How an attempt ended; `over` says that the request is over too."""
         request = self.requests.get(job)
         if request is None:
@@ -693,8 +747,9 @@
         elif outcome == api.ERROR:  # what fails at once looks idle and would draw the most work of all
             worker.errors += ERROR_STEP * (1.0 - worker.errors)
             if worker.errors > ERROR_MOST:
-                worker.ill_until = now + int((ILL_FOR << min(worker.relapses, ILL_DOUBLINGS))
-                                             * (0.5 + self.random()))
+                worker.ill_until = now + int(
+                    (ILL_FOR << min(worker.relapses, ILL_DOUBLINGS)) * (0.5 + self.random())
+                )
                 worker.relapses += 1
                 self._tell(now, worker)
         elif outcome == api.FULL:
@@ -718,8 +773,13 @@
         """Nothing is out and the final answer is owed: another try where it is allowed, else the end."""
         tries = len(request.attempts)
         full = outcome == api.FULL and tries > 1 and now < self.tight_until
-        if (full or outcome == api.MOOT or tries >= self.told.most_attempts or self.retries < 1.0
-                or not may_send(request, now, self.told.connect_timeout)):
+        if (
+            full
+            or outcome == api.MOOT
+            or tries >= self.told.most_attempts
+            or self.retries < 1.0
+            or not may_send(request, now, self.told.connect_timeout)
+        ):
             return self._finish(now, request)
         self.retries -= 1.0
         if tries == 1 or outcome == api.CANCELLED:
