Calls to discovery wait longer after such as were given up: a drain was learnt late

Followed with lists and sends printed: node 11 was never given a list in 30 s. Its calls were refused at once (8) or given up by itself after 2.1 s (7); of 457 calls of the tier 95 were given up so and none of those in doubt was ever answered before 1.9 s. Ruled out: lists taken but not applied (nodes that were answered applied each change), sends after a drain had been taken in (none in the prints). Change: after a call that followed a failed one and got no answer in its time, the next one waits 2.2 s, then 4.4 s for its answer in place of 1.1 s (over the wait that it asks for). The first two calls after a watch fell silent are as before, so that silence is still noticed in 6 s.

--- a/violetsaddle/net/discovery.py
+++ b/violetsaddle/net/discovery.py
@@ -18,6 +18,7 @@
 from violetsaddle.net.limits import MS, Limits
 from violetsaddle.net.servers import Broken, NotConnected, ServerConnection, Servers, dial
 
+MOST_DOUBLINGS = 2  # of the time for an answer, after calls that were given up: 1.1 s, 2.2 s, 4.4 s
 STATES = {"up": api.ACTIVE, "draining": api.DRAINING, "removed": api.GONE}
 
 
@@ -61,6 +62,7 @@
         self._round = 0  # a watch that was moved away must not speak for the present one
         self._stopped = False
         self._doubt = False  # the last call failed
+        self._given_up = 0  # calls in a row, after one that failed, that had no answer in their time
         self._entries: dict[str, api.Entry] = {}  # of the list held, by name
         self._asked = deadlines.now()  # when the list held was last known to hold
         self.seen: list[Callable[[Any, str], object]] = []  # hear of each list taken in, and from where
@@ -163,7 +165,7 @@
             return
         self._host, self._port = at
         self._round += 1
-        self._version, self._watching = None, False
+        self._version, self._watching, self._given_up = None, False, 0
         if self._running is not None:
             self._running.cancel()
         self._hang_up()
@@ -202,7 +204,7 @@
                     break
                 held = self._version
                 self.take(json.loads(bytes(answer.body)))
-                self._doubt, self._asked = False, self._deadlines.now()
+                self._doubt, self._given_up, self._asked = False, 0, self._deadlines.now()
                 if self._version == held:
                     # Guards against a discovery that answers at once with nothing new: it must not spin.
                     await self._pause()
@@ -243,15 +245,23 @@
         # After a failure with a short wait: what was missed may count as told soon, and discovery may fall
         # silent again.  But never for the whole list where changes would do: its lines cost discovery more
         # than the call, and forty nodes that ask for them keep it overbooked.
-        late_after = self._limits.ask
+        # An overbooked discovery lets calls wait for their turn, for how long no setting tells.  One that is
+        # given up goes to the end of the queue: a node that always gives up too soon is never answered.
+        late_after = answer_within = self._limits.ask << min(self._given_up, MOST_DOUBLINGS)
         if self._version is not None:
             wait = self._limits.doubt_wait if self._doubt else self._limits.watch_wait
-            late_after = wait + (self._limits.ask if self._doubt else self._limits.watch_grace)
+            late_after = wait + (answer_within if self._doubt else self._limits.watch_grace)
             target += f"?after={self._version}&wait_ms={wait // MS}"
         self._counters.add("watch_calls")
         calling = self._connection.exchange([http.request("GET", target, f"{self._host}:{self._port}")])
-        late = self._deadlines.after(late_after, calling.cancel)
+        late = self._deadlines.after(late_after, lambda: self._give_up(calling))
         try:
             return await calling
         finally:
             self._deadlines.drop(late)
+
+    def _give_up(self, calling: Deferred[http.Message]) -> None:
+        """No answer came in time.  After the first one, which shows a watch that fell silent, each next call
+        waits longer."""
+        self._given_up += self._doubt
+        calling.cancel()
