Other settings while requests are in flight: Balancer.reconfigure

A change of shares, tries, aims or permissions needed a new start. Requests now hold the settings under which they were taken and are judged by these for their whole life: class, tries, permission to cancel, advice. Buckets accrue up to now at the old rate and go on at the new share's at once. What is fixed (effects, groups, windows, deadlines, numbers of classes and tenants, the site's figures) is refused as a whole.

--- /dev/null
+++ b/tests/test_reconfigure.py
@@ -0,0 +1,263 @@
+"""Other settings while requests are in flight: in the decision module, then in the node's network part."""
+
+from __future__ import annotations
+
+import unittest
+from dataclasses import fields, replace
+from typing import Any
+
+from tests.helpers import CLASSES, MS, SECOND, Recorder, make, run_until
+from violetsaddle import Balancer, Entry, RequestClass, Settings, Tenant
+from violetsaddle.interface import CHANGEABLE, KEYED, UNSAFE, SettingsError
+from violetsaddle.policy import PATIENCE
+
+TENANTS = (Tenant(0.5), Tenant(0.3), Tenant(0.2))
+
+
+class Buckets(unittest.TestCase):
+    def setUp(self) -> None:
+        self.balancer, self.recorder = make(tenants=TENANTS, schedulers=4, report=frozenset({"free_slots"}))
+        self.balancer.fleet.rate = 400 / SECOND  # slots a microsecond
+        self.balancer.reconfigure(0, self.balancer.told)
+
+    def rates(self) -> list[float]:
+        return [round((bucket.rate or 0.0) * SECOND, 9) for bucket in self.balancer.buckets]
+
+    def test_they_accrue_up_to_now_at_the_old_rate_and_then_at_the_new(self) -> None:
+        balancer = self.balancer
+        self.assertEqual(self.rates(), [50.0, 30.0, 20.0])
+        for bucket in balancer.buckets:
+            bucket.tokens, bucket.burst = 0.0, 1000.0
+        balancer.reconfigure(SECOND, replace(balancer.told, tenants=(Tenant(0.1), Tenant(0.1), Tenant(0.8))))
+        self.assertEqual([round(b.tokens, 9) for b in balancer.buckets], [50.0, 30.0, 20.0])
+        self.assertEqual(self.rates(), [10.0, 10.0, 80.0])
+        for bucket in balancer.buckets:
+            bucket.fill(2 * SECOND)
+        self.assertEqual([round(b.tokens, 9) for b in balancer.buckets], [60.0, 40.0, 100.0])
+        balancer.reconfigure(2 * SECOND, replace(balancer.told, tenants=(Tenant(0), Tenant(1), Tenant(1))))
+        self.assertEqual(self.rates(), [0.0, 50.0, 50.0])
+        for bucket in balancer.buckets:
+            bucket.fill(3 * SECOND)
+        self.assertEqual([round(b.tokens, 9) for b in balancer.buckets], [60.0, 90.0, 150.0])
+
+    def test_any_number_of_changes_accrues_what_each_span_had(self) -> None:
+        balancer = self.balancer
+        for bucket in balancer.buckets:
+            bucket.tokens, bucket.burst = 0.0, 1e9
+        due, now = [0.0, 0.0, 0.0], 0
+        for n in range(60):
+            span = 1 + n * n * 977 % 500_000
+            due = [a + (b.rate or 0.0) * span for a, b in zip(due, balancer.buckets)]
+            now += span
+            shares = (Tenant(n % 5), Tenant(1 + n % 3), Tenant(n % 7))
+            balancer.reconfigure(now, replace(balancer.told, tenants=shares))
+        for wanted, bucket in zip(due, balancer.buckets):
+            self.assertAlmostEqual(bucket.tokens, wanted, places=6)
+
+    def test_a_debt_and_a_burst_stay(self) -> None:
+        balancer = self.balancer
+        balancer.buckets[0].tokens, balancer.buckets[1].tokens = -3.0, 8.0
+        balancer.reconfigure(0, replace(balancer.told, tenants=(Tenant(1), Tenant(2), Tenant(1))))
+        self.assertEqual([b.tokens for b in balancer.buckets[:2]], [-3.0, 8.0])
+        balancer.buckets[1].fill(10 * SECOND)
+        self.assertEqual(balancer.buckets[1].tokens, balancer.buckets[1].burst)
+
+    def test_before_the_first_estimate_they_stay_free(self) -> None:
+        balancer, _ = make(tenants=TENANTS)
+        balancer.reconfigure(SECOND, replace(balancer.told, tenants=(Tenant(1), Tenant(0), Tenant(0))))
+        self.assertEqual([b.rate for b in balancer.buckets], [None] * 3)
+        balancer.fleet.rate = 10 / SECOND
+        balancer.reconfigure(SECOND, balancer.told)
+        self.assertEqual(balancer.buckets[0].rate, 10 / SECOND)
+        self.assertEqual(balancer.buckets[1].rate, 0.0)
+
+    def test_the_next_tick_goes_on_with_the_new_shares(self) -> None:
+        balancer = self.balancer
+        balancer.reconfigure(0, replace(balancer.told, tenants=(Tenant(0), Tenant(0), Tenant(5))))
+        now = run_until(balancer, self.recorder, 0, 3 * SECOND)
+        self.assertEqual(now, 3 * SECOND)
+        self.assertEqual(self.rates()[:2], [0.0, 0.0])
+        self.assertAlmostEqual(self.rates()[2], 400 / balancer.schedulers)
+
+    def test_a_tenant_is_admitted_by_its_new_share(self) -> None:
+        balancer, recorder = self.balancer, self.recorder
+        balancer.tight_until = 100 * SECOND
+        for bucket in balancer.buckets:
+            bucket.tokens = 0.0
+        balancer.reconfigure(0, replace(balancer.told, tenants=(Tenant(0), Tenant(1), Tenant(0))))
+        balancer.request(SECOND, "a", 0, SECOND, tenant=0)
+        balancer.request(SECOND, "b", 0, SECOND, tenant=1)
+        self.assertEqual(recorder.sent_to("a"), [])
+        self.assertEqual(len(recorder.sent_to("b")), 1)
+
+
+class Kept(unittest.TestCase):
+    """Requests in flight keep the settings under which they were taken."""
+
+    def cut(self, balancer: Balancer, now: int, job: str, number: int) -> None:
+        """An attempt that never reached its worker: another may follow for any class."""
+        balancer.answer(now, job, number, "connect_failed", 1, False, None)
+
+    def attempts(self, balancer: Balancer, recorder: Recorder, job: str, now: int) -> int:
+        """How many attempts a request gets of which each ends unreached."""
+        for number in range(20):
+            now = run_until(balancer, recorder, now, now + SECOND)
+            if len(recorder.sent_to(job)) <= number:
+                return number
+            self.cut(balancer, now, job, number)
+        return 20
+
+    def test_tries_lowered_and_raised(self) -> None:
+        for before, after in ((4, 1), (1, 4), (2, 3)):
+            with self.subTest(before=before, after=after):
+                balancer, recorder = make(workers=20, most_attempts=before)
+                balancer.retries = 100.0
+                balancer.request(0, "old", 0, 60 * SECOND)
+                balancer.reconfigure(1, replace(balancer.told, most_attempts=after))
+                balancer.request(2, "new", 0, 60 * SECOND)
+                self.assertEqual(self.attempts(balancer, recorder, "old", 2), before)
+                balancer.retries = 100.0
+                self.assertEqual(self.attempts(balancer, recorder, "new", 2), after)
+                self.assertEqual(sorted(j for _, j, _ in recorder.named("refuse")), ["new", "old"])
+
+    def test_aim_of_a_class(self) -> None:
+        told = (replace(CLASSES[0], aim=400 * MS), *CLASSES[1:])
+        balancer, recorder = make(tells_start=True, may_cancel=False)
+        balancer.request(0, "old", 0, SECOND)
+        balancer.reconfigure(0, replace(balancer.told, classes=told))
+        balancer.request(0, "new", 0, SECOND)
+        self.assertEqual(balancer.requests["old"].patience, int(PATIENCE * 200 * MS))
+        self.assertEqual(balancer.requests["new"].patience, int(PATIENCE * 400 * MS))
+        run_until(balancer, recorder, 0, 100 * MS)
+        self.assertTrue(balancer.requests["old"].attempts[0].late)
+        self.assertFalse(balancer.requests["new"].attempts[0].late)
+        run_until(balancer, recorder, 100 * MS, 200 * MS)
+        self.assertTrue(balancer.requests["new"].attempts[0].late)
+
+    def test_permission_to_cancel_taken_away_and_given(self) -> None:
+        for before in (True, False):
+            with self.subTest(before=before):
+                balancer, recorder = make(may_cancel=before)
+                balancer.request(0, "old", 0, SECOND)
+                balancer.reconfigure(1, replace(balancer.told, may_cancel=not before))
+                balancer.request(2, "new", 0, SECOND)
+                for job in ("old", "new"):
+                    balancer.gone(3, job)
+                self.assertEqual([d[1] for d in recorder.named("cancel")], ["old" if before else "new"])
+
+    def test_a_silent_worker_is_left_only_where_the_request_may_cancel(self) -> None:
+        for before in (True, False):
+            with self.subTest(before=before):
+                balancer, recorder = make(may_cancel=before, tells_start=True)
+                balancer.request(0, "old", 0, 4 * SECOND)
+                balancer.reconfigure(0, replace(balancer.told, may_cancel=not before))
+                run_until(balancer, recorder, 0, 2 * SECOND)
+                self.assertEqual(bool(recorder.named("cancel")), before)
+
+    def test_advice_of_a_refusal(self) -> None:
+        balancer, recorder = make(workers=0, most_advice=2_000_000)
+        balancer.request(0, "old", 0, 300 * MS)
+        balancer.reconfigure(0, replace(balancer.told, may_advise=False))
+        balancer.request(0, "new", 0, 300 * MS)
+        run_until(balancer, recorder, 0, SECOND)
+        advice = {job: wait for _, job, wait in recorder.named("refuse")}
+        self.assertGreater(advice["old"], 0)
+        self.assertEqual(advice["new"], 0)
+
+    def test_probes_switched_off_and_on(self) -> None:
+        balancer, recorder = make(may_probe=True, report_by_probe=True, report=frozenset({"free_slots"}))
+        balancer.request(0, "a", 0, SECOND)
+        asked = len(recorder.named("probe"))
+        self.assertGreater(asked, 0)
+        balancer.reconfigure(1, replace(balancer.told, may_probe=False))
+        balancer.probed(2, recorder.named("probe")[0][1], True, {"free_slots": 3.0})  # was out
+        self.assertEqual(balancer.reports, 1)
+        for n in range(20):
+            balancer.request(3, f"b{n}", 0, SECOND)
+        self.assertEqual(len(recorder.named("probe")), asked)
+        balancer.reconfigure(4, replace(balancer.told, may_probe=True))
+        balancer.request(5, "c", 0, SECOND)
+        self.assertGreater(len(recorder.named("probe")), asked)
+
+    def test_what_must_not_run_twice_is_never_sent_again(self) -> None:
+        """Whatever changes, and however often, while an attempt that may have run is out."""
+        unsafe = 3
+        self.assertEqual(CLASSES[unsafe].effect, UNSAFE)
+        balancer, recorder = make(workers=20, most_attempts=1, may_cancel=False, tells_start=True)
+        balancer.retries = 100.0
+        jobs = [f"j{n}" for n in range(30)]
+        for n, job in enumerate(jobs):
+            balancer.request(n, job, unsafe, 8 * SECOND)
+            balancer.reconfigure(
+                n, replace(balancer.told, most_attempts=1 + n % 5, may_cancel=n % 2 > 0, second_copies=True)
+            )
+        run_until(balancer, recorder, 30, SECOND)
+        for job in jobs:
+            balancer.answer(SECOND, job, 0, "reset", SECOND, False, None)
+            balancer.reconfigure(SECOND, replace(balancer.told, most_attempts=9, may_cancel=True))
+        run_until(balancer, recorder, SECOND, 9 * SECOND)
+        for job in jobs:
+            self.assertEqual(len(recorder.sent_to(job)), 1)
+        self.assertEqual({d[1] for d in recorder.named("fail")}, set(jobs))
+
+    def test_a_keyed_request_keeps_to_its_group_and_window(self) -> None:
+        keyed = 1
+        self.assertEqual((CLASSES[keyed].effect, CLASSES[keyed].group), (KEYED, "cell"))
+        balancer, recorder = make(workers=12, cells=3, most_attempts=2)
+        balancer.retries = 100.0
+        balancer.request(0, "a", keyed, 8 * SECOND)
+        balancer.reconfigure(1, replace(balancer.told, most_attempts=6))
+        balancer.answer(2, "a", 0, "reset", 1, False, None)
+        run_until(balancer, recorder, 2, SECOND)
+        first, second = recorder.sent_to("a")
+        self.assertEqual(first % 3, second % 3)
+        balancer.answer(SECOND, "a", 1, "reset", 1, False, None)
+        run_until(balancer, recorder, SECOND, 9 * SECOND)
+        self.assertEqual(len(recorder.sent_to("a")), 2)
+        self.assertEqual([d[1] for d in recorder.named("fail")], ["a"])
+
+
+class Unfit(unittest.TestCase):
+    def test_what_is_fixed_is_refused_and_nothing_changes(self) -> None:
+        balancer, _ = make(tenants=TENANTS)
+        told, shares = balancer.told, list(balancer.shares)
+        classes = told.classes
+        other: dict[str, Any] = {
+            "report": frozenset({"x"}),
+            "zones": 2,
+            "zone": 1,
+            "schedulers": 2,
+            "cold_from": 0.5,
+        }
+        for field in fields(Settings):
+            if field.name in CHANGEABLE:
+                continue
+            value = getattr(told, field.name)
+            changed = other.get(
+                field.name, not value if isinstance(value, bool) else value + 1 if value == 1 else 7
+            )
+            base = replace(told, zones=2) if field.name == "zone" else told
+            wanted = replace(base, **{field.name: changed})
+            with self.subTest(field=field.name), self.assertRaisesRegex(SettingsError, "zone|" + field.name):
+                balancer.reconfigure(1, wanted)
+        changes: list[dict[str, Any]] = [{"deadline": 1}, {"effect": UNSAFE}, {"group": "cell"}]
+        changes += [{"window": 9}, {"worker_kind": 0}, {"stream": True}]
+        for bad in (
+            classes[:-1],
+            (*classes, classes[0]),
+            classes[::-1],
+            *((replace(classes[0], **change), *classes[1:]) for change in changes),
+        ):
+            with self.assertRaisesRegex(SettingsError, "classes"):
+                balancer.reconfigure(1, replace(told, classes=bad, tenants=(Tenant(9), Tenant(1), Tenant(1))))
+        with self.assertRaisesRegex(SettingsError, "tenants"):
+            balancer.reconfigure(1, replace(told, tenants=TENANTS[:2]))
+        self.assertIs(balancer.told, told)
+        self.assertEqual(balancer.shares, shares)
+
+    def test_requests_taken_later_have_the_new_class(self) -> None:
+        balancer = Balancer(Settings(classes=(RequestClass(100, 1000),)), 1, 0, Recorder())
+        balancer.members(0, "disk", [Entry(1)])
+        balancer.reconfigure(0, replace(balancer.told, classes=(RequestClass(200, 1000, stretch=2.0),)))
+        balancer.request(0, "a", 0, 1000)
+        self.assertEqual((balancer.requests["a"].spec.aim, balancer.requests["a"].spec.stretch), (200, 2.0))
--- a/violetsaddle/interface.py
+++ b/violetsaddle/interface.py
@@ -7,7 +7,7 @@
 from __future__ import annotations
 
 from collections.abc import Mapping
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, fields, replace
 from typing import NamedTuple, Protocol
 
 OK, ERROR, FULL, TIMEOUT = "ok", "error", "full", "timeout"
@@ -63,6 +63,13 @@
     allowance_per_s: float = 0.0  # requests a second inside its share, over all schedulers; 0: not told
 
 
+# What may change while requests are in flight: of classes aim and stretch, of tenants all but their number.
+CHANGEABLE = frozenset(
+    ("classes", "tenants", "may_probe", "may_cancel", "second_copies", "may_advise", "most_advice")
+    + ("most_attempts", "cross_zone_price", "fetch_price")
+)
+
+
 @dataclass(frozen=True)
 class Settings:
     """All a scheduler is told at its start."""
@@ -118,6 +125,19 @@
             if not good:
                 raise SettingsError(f"setting {name!r} is out of range")
 
+    def check_change(self, told: Settings) -> None:
+        """Raises `SettingsError` where `told` differs in what can't change while requests are in flight."""
+        for name in (f.name for f in fields(self)):
+            if name not in CHANGEABLE and getattr(self, name) != getattr(told, name):
+                raise SettingsError(f"setting {name!r} can't be changed at work")
+        if len(self.tenants) != len(told.tenants):
+            raise SettingsError("setting 'tenants' can't change its number at work")
+        after = tuple(
+            replace(new, aim=old.aim, stretch=old.stretch) for old, new in zip(self.classes, told.classes)
+        )
+        if self.classes != after or len(self.classes) != len(told.classes):
+            raise SettingsError("setting 'classes' can change aim and stretch alone at work")
+
 
 Report = Mapping[str, float]
 
--- a/violetsaddle/policy.py
+++ b/violetsaddle/policy.py
@@ -103,6 +103,11 @@
     return free and now + dial < send_by(request)
 
 
+def shares_of(told: api.Settings) -> list[float]:
+    shares = sum(t.share for t in told.tenants) or 1.0
+    return [t.share / shares for t in told.tenants]
+
+
 class FleetRate:
     """Estimate of the slots a microsecond that the whole fleet can serve."""
 
@@ -148,8 +153,7 @@
         self.zone_strikes, self.zone_trust = [0] * told.zones, [1.0] * told.zones
         self.requests: dict[str, Request] = {}
         self.buckets = [TokenBucket(now, LEAST_BURST, LEAST_BURST) for _ in told.tenants]
-        shares = sum(t.share for t in told.tenants) or 1.0
-        self.shares = [t.share / shares for t in told.tenants]
+        self.shares = shares_of(told)
         self.fleet = FleetRate(told)
         self.arrived_slots, self.own_rate = 0.0, 0.0
         self.largest = 1.0  # slots of the largest job seen
@@ -191,11 +195,8 @@
         )
         if self.peers and not self.alone:
             self.schedulers = round(told.schedulers * (1 + heard) / (1 + len(self.signs)))
-        rate = self.fleet.estimate(ready, jam, self.own_rate * self.schedulers)
-        if rate is not None:
-            for bucket, share in zip(self.buckets, self.shares):
-                bucket.fill(now)
-                bucket.rate = rate * share / self.schedulers
+        self.fleet.estimate(ready, jam, self.own_rate * self.schedulers)
+        self._fill(now)
         for (origin, mark), (at, jobs) in list(self.words.items()):
             if now - at >= TOLD_FOR:
                 self.elsewhere[mark] -= jobs
@@ -220,6 +221,20 @@
                 self._place(now, worker)
         self._after(now, TICK, self._tick, None)
 
+    def _fill(self, now: int) -> None:
+        """Buckets accrue up to now at the rates that were, and from now on at those of the present shares."""
+        if (rate := self.fleet.rate) is not None:
+            for bucket, share in zip(self.buckets, self.shares):
+                bucket.fill(now)
+                bucket.rate = rate * share / self.schedulers
+
+    def reconfigure(self, now: int, told: api.Settings) -> None:
+        """Other settings for the requests that come from now on; raises `SettingsError` and changes nothing
+        where they differ in what can't change at work.  Requests taken before keep theirs."""
+        self.told.check_change(told)
+        self.told, self.shares = told, shares_of(told)
+        self._fill(now)
+
     # What schedulers tell each other, in words of two bytes: a worker, whether it is ill, own jobs there; as
     # these change, and each tick while there are any.  Each datagram is paid for by each that hears it: in a
     # large tier a worker's circle hears of it, 16 schedulers of its zone by hashing, and draws it first.
@@ -557,8 +572,7 @@
             raise api.EventError(f"request {job}: class {cls} or tenant {tenant} is not in the settings")
         if job in self.requests:
             raise api.EventError(f"request {job} is known already")
-        spec = self.told.classes[cls]
-        request = Request(job, spec, slots, now + remaining, int(PATIENCE * spec.aim), hint)
+        request = Request(job, self.told, cls, slots, now + remaining, PATIENCE, hint)
         if hint:  # what a cold worker is pushed over by is work, not jobs
             self.mean_hint += HINT_STEP * (hint - self.mean_hint) if self.mean_hint else hint
             request.cost = slots * hint / self.mean_hint
@@ -571,7 +585,7 @@
         self.largest = max(self.largest, slots)
         bucket.burst = max(LEAST_BURST, self.largest)
         if not bucket.take(now, slots) and now < self.tight_until:
-            return self.act.refuse(job, self._advice(bucket.wait(slots)))
+            return self.act.refuse(job, self._advice(request, bucket.wait(slots)))
         self.requests[job] = request
         self._push(now, request)
         if (
@@ -581,8 +595,8 @@
         ):
             self._ask_two(now)
 
-    def _advice(self, wait: int) -> int:
-        return min(wait, self.told.most_advice) if self.told.may_advise else 0
+    def _advice(self, request: Request, wait: int) -> int:
+        return min(wait, request.told.most_advice) if request.told.may_advise else 0
 
     def _push(self, now: int, request: Request) -> bool:
         worker = self._choose(now, request)
@@ -619,7 +633,7 @@
     def _finish(self, now: int, request: Request) -> None:
         """The final answer where no attempt gave one."""
         if may_refuse(request):
-            self.act.refuse(request.id, self._advice(RETRY_WAIT))
+            self.act.refuse(request.id, self._advice(request, RETRY_WAIT))
         else:
             self.act.fail(request.id)
         self._end(request)
@@ -627,7 +641,7 @@
     def _end(self, request: Request) -> None:
         request.over = True
         for attempt in request.attempts:
-            if attempt.out and self.told.may_cancel:
+            if attempt.out and request.told.may_cancel:
                 self.act.cancel(request.id, attempt.number)
         if not request.out:
             del self.requests[request.id]
@@ -638,7 +652,7 @@
         if request is None or request.over or request.deadline != end or not request.attempts[number].out:
             return
         worker = (attempt := request.attempts[number]).worker
-        told, silent = self.told, worker.life <= attempt.sent
+        told, silent = request.told, worker.life <= attempt.sent
         if attempt.started:
             if now - worker.life < SILENT_NOTES * told.progress_every:
                 self._after(now, told.progress_every, self._check, about)
@@ -776,7 +790,7 @@
         if (
             full
             or outcome == api.MOOT
-            or tries >= self.told.most_attempts
+            or tries >= request.told.most_attempts
             or self.retries < 1.0
             or not may_send(request, now, self.told.connect_timeout)
         ):
--- a/violetsaddle/state.py
+++ b/violetsaddle/state.py
@@ -120,8 +120,11 @@
 
 
 class Request:
+    """A request, with the settings under which it was taken: it is judged by these for its whole life."""
+
     __slots__ = (
         "id",
+        "told",
         "spec",
         "slots",
         "deadline",
@@ -135,10 +138,12 @@
     )
 
     def __init__(
-        self, job: str, spec: api.RequestClass, slots: float, deadline: int, patience: int, hint: int
+        self, job: str, told: api.Settings, cls: int, slots: float, deadline: int, patience: float, hint: int
     ) -> None:
-        self.id, self.spec, self.slots, self.hint, self.cost = job, spec, slots, hint, slots
-        self.deadline, self.patience = deadline, patience
+        """`patience`: the part of the class's aim after which a start is late."""
+        self.id, self.told, self.slots, self.hint, self.cost = job, told, slots, hint, slots
+        self.spec = spec = told.classes[cls]
+        self.deadline, self.patience = deadline, int(patience * spec.aim)
         self.attempts: list[Attempt] = []
         self.out, self.over, self.streams = 0, False, False
 
