lab capacity: what a node costs by the size of its fleet, measured from outside

Nothing told how a node's CPU time, memory, datagrams and bytes grow with executors, peers, tenants, requests in flight and starts; the figures at hand were single runs without load.

`violetsaddle lab capacity` starts real nodes among hollow executors, discovery, clients and peers, which share the command's process, changes one size at a time, reads CPU (schedstat), memory, descriptors, datagrams and bytes by kind from outside, checks them against the node's counters, and fits a line through each. Plans are TOML; sizes that do not fit half of the machine's memory or its descriptors are refused with key and value. `--real-nodes N` plays a tier of real nodes.

--- a/violetsaddle/cli/lab.py
+++ b/violetsaddle/cli/lab.py
@@ -11,7 +11,7 @@
 from collections.abc import Callable, Iterable, Iterator, Sequence
 from contextlib import contextmanager
 from pathlib import Path
-from typing import Any, NoReturn, TypeVar, cast
+from typing import TYPE_CHECKING, Any, NoReturn, TypeVar, cast
 
 import click
 import msgspec
@@ -30,6 +30,10 @@
 from violetsaddle.world.day import decode as read_day
 from violetsaddle.world.day import encode as write_day
 
+if TYPE_CHECKING:
+    from violetsaddle.lab.capacity.sizes import Plan
+    from violetsaddle.lab.capacity.world import Row
+
 BROKEN, USAGE, VOID, INTERRUPTED = 1, 2, 3, 130
 YARDSTICKS = ("random", "round-robin", "least", "two", "oracle")
 Command = TypeVar("Command", bound=Callable[..., Any])
@@ -711,3 +715,105 @@
         except KeyboardInterrupt:
             return True
     return False
+
+
+# capacity
+
+
+@command.command()
+@click.argument("plan_file", metavar="[PLAN]", required=False, type=click.Path(dir_okay=False))
+@click.option("--sweep", "keys", multiple=True, metavar="KEY", help="Sweep this size only. May be repeated.")
+@click.option(
+    "--json", "json_file", metavar="FILE", help="Write rows and slopes as JSON; - for standard output."
+)
+@click.option("--svg", "folder", metavar="DIR", help="Write a picture of each slope with its budget line.")
+@click.option(
+    "--real-nodes",
+    type=int,
+    metavar="N",
+    help="One run of a tier of N real nodes (2 to 240) with the operators' load spread over them, no sweep.",
+)
+@click.option(
+    "--tree",
+    type=click.Path(exists=True, file_okay=False),
+    help="A checkout whose node is measured by the lab of this one.",
+)
+def capacity(
+    plan_file: str | None,
+    keys: tuple[str, ...],
+    json_file: str | None,
+    folder: str | None,
+    real_nodes: int | None,
+    tree: str | None,
+) -> None:
+    """Measure what a node costs by the size of its fleet.
+
+    A real node stands among hollow executors, discovery, clients and peers. PLAN is a TOML file with the
+    tables base and sweeps (docs/lab.md); without one the whole default is swept, in about six minutes. Ends
+    with status 1 where the node's own counts differ from what was seen outside it."""
+    from violetsaddle.lab.capacity import report, sizes
+
+    _can_write(json_file)
+    try:
+        plan = sizes.load(plan_file) if plan_file else sizes.DEFAULT
+        plan = _only(plan, keys)
+        if real_nodes is not None:
+            sizes.check_real(real_nodes, plan, sizes.Machine.here())
+        else:
+            sizes.check(plan, sizes.Machine.here())
+    except sizes.PlanError as error:
+        raise Unusable(f"capacity: {error}") from None
+    out = aside if json_file == "-" else console
+    rows = _capacity_rows(plan, real_nodes, tree or "")
+    found = report.result(plan, rows)
+    _put(json_file, report.encode(found))
+    if real_nodes is not None:
+        out.print(report.real_table(rows))
+        return
+    for table in report.tables(found):
+        out.print(table)
+    if folder:
+        try:
+            report.pictures(found, folder)
+        except OSError as error:
+            raise Unusable(f"{folder}: {error.strerror}") from None
+    odd = report.strange(found)
+    for line in odd:
+        _tell(f"counts differ: {line}")
+    sys.exit(BROKEN if odd else 0)
+
+
+def _only(plan: Plan, keys: Sequence[str]) -> Plan:
+    """The plan with these sweeps alone; raises `PlanError`."""
+    from violetsaddle.lab.capacity.sizes import PlanError
+
+    for key in keys:
+        if key not in plan.sweeps:
+            raise PlanError(f"--sweep: {key} is not swept, expected one of {', '.join(plan.sweeps)}")
+    if not keys:
+        return plan
+    return msgspec.structs.replace(plan, sweeps={k: plan.sweeps[k] for k in keys}, named={})
+
+
+def _capacity_rows(plan: Plan, real_nodes: int | None, tree: str) -> list[Row]:
+    """Plays with progress; ends the command where a child died or it was interrupted."""
+    from violetsaddle.lab.capacity import sweep as points
+    from violetsaddle.lab.capacity.hollow import HollowError
+    from violetsaddle.lab.capacity.process import NodeDied
+
+    total = sum(map(len, points.batches(plan)))
+    with _bar() as progress:
+        task = progress.add_task("capacity", total=None if real_nodes else total)
+
+        def see(key: str, value: float, done: int) -> None:
+            progress.update(task, completed=done, description=f"{key} {value:g}")
+
+        try:
+            if real_nodes is not None:
+                return points.real_tier(plan, real_nodes, tree)
+            return points.sweep(plan, tree, see)
+        except KeyboardInterrupt:
+            sys.exit(INTERRUPTED)
+        except (NodeDied, HollowError, TimeoutError, OSError) as error:
+            _tell(f"violetsaddle lab: capacity: {type(error).__name__}: {error}")
+            sys.exit(VOID)
