--- a/benchmarks/counting.py
+++ b/benchmarks/counting.py
@@ -64,7 +64,7 @@
 PARTS = (
     ("violetsaddle/net/http.py", "parsing"),
     ("violetsaddle/net/edge.py", "edge"),
-    ("violetsaddle/net/flows.py", "flows"),
+    ("violetsaddle/net/requests.py", "requests"),
     ("violetsaddle/policy", "module"),
     ("violetsaddle/interface", "module"),
     ("violetsaddle/state", "module"),
--- a/benchmarks/forwarder.py
+++ b/benchmarks/forwarder.py
@@ -113,11 +113,11 @@
             self.callback(body)
         elif head.startswith(b"POST "):
             job = JOB.search(head)
-            if job is None or (name := job[1].decode()) in self.forwarder.flows:
+            if job is None or (name := job[1].decode()) in self.forwarder.requests:
                 self.say(reply("400 Bad Request"))
                 return
             self.job, self.held = name, True
-            self.forwarder.flows[name] = self
+            self.forwarder.requests[name] = self
             self.forwarder.send(name, head, body)
         else:
             self.say(reply("200 OK", b"ready"))
@@ -142,7 +142,7 @@
 
     def connection_lost(self, error: Exception | None) -> None:
         if self.job:
-            del self.forwarder.flows[self.job]
+            del self.forwarder.requests[self.job]
 
 
 class Line(Cut):
@@ -179,7 +179,7 @@
 class Forwarder:
     def __init__(self, servers: list[tuple[str, int]]) -> None:
         self.servers = [Server(*server) for server in servers]
-        self.flows: dict[str, Edge] = {}
+        self.requests: dict[str, Edge] = {}
         self.turn = 0
         self.tasks: set[asyncio.Task[None]] = set()
 
@@ -209,7 +209,7 @@
         line.transport.write(data)
 
     def answer(self, job: str, data: bytes) -> None:
-        edge = self.flows.pop(job, None)
+        edge = self.requests.pop(job, None)
         if edge is not None:
             edge.job = ""
             edge.say(data)
--- a/benchmarks/load.py
+++ b/benchmarks/load.py
@@ -31,7 +31,7 @@
     rate: float = 0.0
     body: int = 212
     idle: int = 0  # connections that have been answered once and ask no more; 0 closes them
-    held: int = 0  # flows kept open; more than are open now opens the rest
+    held: int = 0  # requests kept open; more than are open now opens the rest
     cut: bool = False  # each request in single bytes
     slow: int = 0  # clients whose 64 KiB body comes at 1 KiB a second meanwhile
     burst: bool = False  # all requests at once, each on a new connection
@@ -82,7 +82,7 @@
 
 
 class Quiet(Framed):
-    """Idle clients, those whose flows are held, and slow ones: the first answer is noted."""
+    """Idle clients, those whose requests are held, and slow ones: the first answer is noted."""
 
     def __init__(self, seen: Counter[str]) -> None:
         super().__init__()
--- a/benchmarks/ordinary.py
+++ b/benchmarks/ordinary.py
@@ -66,7 +66,7 @@
     boxes: int = 12
     peers: int = 0
     result: int = 0
-    held: bool = False  # flows are to be held: no word of their start is waited for
+    held: bool = False  # requests are to be held: no word of their start is waited for
 
 
 class Side:
@@ -163,7 +163,7 @@
         self.close()
 
     def ready(self, side: Side, task: Task) -> None:
-        """Idle clients and held flows are there afterwards."""
+        """Idle clients and held requests are there afterwards."""
         self.tasks += 1
         task.port, task.name = side.port, f"{self.tasks:04x}"
         self.send(msgspec.json.encode(task))
@@ -657,7 +657,7 @@
 @click.option("--counts", "wanted", flag_value="counts", help="System calls, calls, reactor.")
 @click.option("--profile", "wanted", flag_value="profile", help="Shares by part.")
 @click.option("--rates", "wanted", flag_value="rates", help="Latency at 25, 50, 75 % of what it takes.")
-@click.option("--growth", "wanted", flag_value="growth", help="Boxes, peers and flows in flight.")
+@click.option("--growth", "wanted", flag_value="growth", help="Boxes, peers and requests in flight.")
 @click.option("--instructions", "wanted", flag_value="instructions", help="The processor's, by valgrind.")
 @click.option("--rounds", default=5, show_default=True)
 @click.option("--requests", default=1500, show_default=True, help="For each round and program.")
--- a/benchmarks/soak.py
+++ b/benchmarks/soak.py
@@ -180,7 +180,7 @@
         "discovery": "ask",
         "period": 1000,
         "siblings": 2 if full else 1,
-        # Boxes here tell no progress: where flows are held, none may be waited for.
+        # Boxes here tell no progress: where requests are held, none may be waited for.
         "familyInfo": {
             "reportX0": "free slots",
             "tellsStart": not spec.in_flight,
@@ -367,7 +367,7 @@
 @click.option("--clients", type=int, help="Connections of clients that are kept.")
 @click.option("--boxes", default=12)
 @click.option("--churn-rate", default=100.0, help="Boxes replaced a second in the mix churn.")
-@click.option("--in-flight", default=0, help="Flows held open during the whole run.")
+@click.option("--in-flight", default=0, help="Requests held open during the whole run.")
 @click.option("--fresh-calls", is_flag=True, help="A new connection for each callback in every mix.")
 @click.option("--stall", is_flag=True, help="GET /up every 5 ms: the longest round trip is told.")
 @click.option("--gc-stats", is_flag=True, help="What the node's collector did, by generation.")
--- a/benchmarks/standins.py
+++ b/benchmarks/standins.py
@@ -25,7 +25,7 @@
 TENANTS = {"acme": 0.5, "bolt": 0.3, "crow": 0.2}
 LANES = {"quote": 0.6, "charge": 0.2, "settle": 0.2}
 PORTS_EACH = 3  # of a box, used in turn: a late callback still bears the name that its port had
-REMEMBERED = 8192  # jobs whose first scheduling was seen
+REMEMBERED = 8192  # jobs whose first attempt was seen
 SHORT, LONG, HELD = 300, 3000, 600_000  # milliseconds that a client will wait
 PATIENCE = 8.0  # seconds until a client gives up on an answer that should have come
 
@@ -315,7 +315,7 @@
             task.exception()  # the node is ending, or at its limit of connections: a box would call again
 
     def plan(self, job: str) -> Plan:
-        """An odd job comes to its ending at its first scheduling only, an even one at each."""
+        """An odd job comes to its ending at its first attempt only, an even one at each."""
         code = job[0]
         if code in "bcdefghi" and int(job[1:], 16) & 1:
             if job in self.seen:
@@ -548,7 +548,7 @@
         self.loop.call_later(0.0025, self.tick)
 
     async def hold(self) -> None:
-        """Opens the flows that are to be in flight all the time; a few at once, not to choke the node."""
+        """Opens the requests that are to be in flight all the time; a few at once, not to choke the node."""
         for number in range(1, self.spec.in_flight + 1):
             data = self.request("z", "quote", "acme", number, HELD)
             _, line = await self.loop.create_connection(
--- a/tests/counted.py
+++ b/tests/counted.py
@@ -10,12 +10,13 @@
 
 from violetsaddle import __main__
 from violetsaddle.net.node import Node
+from violetsaddle.net.requests import Attempt, Request
 
 COUNTED = (
     "Request",
     "Attempt",
-    "Flow",
-    "Scheduling",
+    "net.Request",
+    "net.Attempt",
     "Deferred",
     "Deadline",
     "HttpOrder",
@@ -30,10 +31,15 @@
 )
 
 
+def kind(cls: type) -> str:
+    """The class's name; the network part has two that are called as two of the module's are."""
+    return f"net.{cls.__name__}" if cls in (Request, Attempt) else cls.__name__
+
+
 def count(*_: object) -> None:
     gc.unfreeze()
-    kinds = Counter(type(held).__name__ for held in gc.get_objects())
-    print("alive", " ".join(f"{kind}={kinds[kind]}" for kind in COUNTED), file=sys.stderr, flush=True)
+    kinds = Counter(kind(type(held)) for held in gc.get_objects())
+    print("alive", " ".join(f"{name}={kinds[name]}" for name in COUNTED), file=sys.stderr, flush=True)
 
 
 start = Node.start
--- a/tests/test_gone.py
+++ b/tests/test_gone.py
@@ -101,9 +101,9 @@
         self.start(NO_CANCELS, servers=1)
         free = self.crowd_dials("s-1")
         self.play("c send job a settle")
-        self.counted("schedulings=1")
+        self.counted("attempts=1")
         self.play("c close")
-        self.counted("askers_gone=1", "outcome_moot=1", "held_servers=0")
+        self.counted("clients_gone=1", "outcome_moot=1", "held_servers=0")
         free()
         self.play("c2 send job b settle\ns expect POST /api | X-Txn: b")
 
@@ -118,7 +118,7 @@
         time.sleep(0.15)  # longer than anybody who has left may still be served
         self.go_on()
         self.play("c send job last settle\ns expect POST /api | X-Txn: last")
-        self.counted("askers_gone=200", "schedulings=1 ", "outcome_moot=200")
+        self.counted("clients_gone=200", "attempts=1 ", "outcome_moot=200")
 
     def test_as_a_held_request_is_due_again(self) -> None:
         # Deadlines come up before sockets are read: who has closed was sent another attempt.
@@ -147,7 +147,7 @@
         stopped = self.at("violetsaddle.policy:Balancer._retry")
         self.play("c close")
         self.go(stopped)
-        self.counted("askers_gone=1", "outcome_moot=1", "schedulings=1 ")
+        self.counted("clients_gone=1", "outcome_moot=1", "attempts=1 ")
         self.play("c2 send job b settle\ns expect POST /api | X-Txn: b")
 
 
@@ -178,10 +178,10 @@
     spec = RequestClass(aim=200_000, deadline=5_000_000, effect=KEYED, window=4_000_000)
     net = Net(Settings(classes=(spec,), most_attempts=4, connect_timeout=300_000))
     net.listed("snapshot", one=("active", 0, 1), two=("active", 0, 2))
-    asker = net.ask("a", 0, 4_000_000)
-    asker.gone = True  # its end lies in the kernel unread
+    client = net.ask("a", 0, 4_000_000)
+    client.gone = True  # its end lies in the kernel unread
     net.clock.advance(0.1)
     net.wires[0].up()
     assert net.wires[0].pending == b"", "it was sent all the same"
-    assert net.counters.get("askers_gone") == 1
+    assert net.counters.get("clients_gone") == 1
     assert not net.faults
--- a/tests/test_guard.py
+++ b/tests/test_guard.py
@@ -13,12 +13,12 @@
 # Each is put into the program before the guard measures it.
 PLANTED = {
     "work, deadlines added": """
-from violetsaddle.net.flows import Flows
-arrive = Flows.arrive
+from violetsaddle.net.requests import Requests
+arrive = Requests.arrive
 def dearer(self, *told):
     self._deadlines.after(1_000_000, int)
     return arrive(self, *told)
-Flows.arrive = dearer
+Requests.arrive = dearer
 """,
     "copies, of a request's body": """
 from violetsaddle.net import edge
--- a/tests/test_large_tier.py
+++ b/tests/test_large_tier.py
@@ -53,7 +53,7 @@
 def test_descriptors_used_up(tmp_path: Path) -> None:
     goodput, total = counted("few", "sockets = 84\n[load]\n", tmp_path)
     assert goodput > 0.9 and total["faults"] == 0
-    assert total["server_connections"] > total["schedulings"], "idle ones made room"
+    assert total["server_connections"] > total["attempts"], "idle ones made room"
 
 
 def test_one_that_hears_of_no_requests_is_counted_all_the_same() -> None:
--- a/tests/test_leaks.py
+++ b/tests/test_leaks.py
@@ -1,4 +1,4 @@
-"""Nothing is left over by a flow, however it ends: the program runs with the collector off."""
+"""Nothing is left over by a request, however it ends: the program runs with the collector off."""
 
 from __future__ import annotations
 
@@ -108,7 +108,7 @@
         self.start(ONE_TRY, servers=1)
         self.play("c send GET /up\nc expect 200\nk send GET /up\nk expect 200")
         before = self.alive()
-        none = dict.fromkeys(("Request", "Attempt", "Flow", "Scheduling", "HttpOrder"), 0)
+        none = dict.fromkeys(("Request", "Attempt", "net.Request", "net.Attempt", "HttpOrder"), 0)
         wanted = none | {kind: before[kind] for kind in ("Deferred", "EdgeConnection", "Server")}
         for which, (name, text) in enumerate(ENDINGS.items()):
             with self.subTest(name):
@@ -139,8 +139,8 @@
             {
                 kind: before[kind]
                 for kind in (
-                    "Flow",
-                    "Scheduling",
+                    "net.Request",
+                    "net.Attempt",
                     "Client",
                     "Connector",
                     "_Dial",
--- a/tests/test_node.py
+++ b/tests/test_node.py
@@ -57,7 +57,7 @@
             s expect X-Txn: a
             c2 send POST /callback | | {"id":"a","from":"s-9","state":"done","result":"not mine"}
             c2 expect 204
-            c2 send POST /callback | | {"id":"zz","from":"s-1","state":"done","result":"no flow"}
+            c2 send POST /callback | | {"id":"zz","from":"s-1","state":"done","result":"no request"}
             c2 expect 204
             s call+ a done result=first
             s call+ a done result=second
@@ -71,7 +71,7 @@
         """)
 
     def test_an_exchange_whose_202_never_comes_ends(self) -> None:
-        # Its flow was ended by a callback; a real server that then vanished left the connection for good.
+        # Its request was ended by a callback; a real server that then vanished left the connection for good.
         self.start()
         self.play("""
             c send job a quote
@@ -211,11 +211,11 @@
             s close
             c expect 503
             node send USR1
-            node expect counters | kept_broken=1 | schedulings=2
+            node expect counters | kept_broken=1 | attempts=2
         """)
 
     def test_kept_connections_are_not_trusted_with_what_must_not_run_twice_nor_after_a_break(self) -> None:
-        # Real servers that dropped kept connections without a word once reset one scheduling in seven.
+        # Real servers that dropped kept connections without a word once reset one attempt in seven.
         self.start({"permissions": {**SETTINGS["permissions"], "mostTries": 1}}, servers=1)
         kept = []
         for job in ("a quote", "b quote", "c settle", "d quote"):
@@ -318,7 +318,7 @@
         """)
 
     def test_a_delete_dropped_with_its_kept_connection_goes_out_again(self) -> None:
-        # It counted as out once written: the real server ran on, and the next scheduling ran beside it.
+        # It counted as out once written: the real server ran on, and the next attempt ran beside it.
         self.start(servers=1)
         self.play("""
             c send job a quote
@@ -359,7 +359,7 @@
 
     def test_nothing_else_is_sent_before_one_that_took_the_job_has_answered_its_delete(self) -> None:
         # On a joining day real servers had no room for a connection but ran what they had: after three tries
-        # in 100 ms the next scheduling left, a second copy.
+        # in 100 ms the next attempt left, a second copy.
         self.start({"familyInfo": {"tellsStart": True}})
         self.play(
             TAKEN
@@ -430,7 +430,7 @@
             was wait
             node send TERM
             node expect exit 0
-            node expect counters | askers_gone=2 | outcome_cancelled=2
+            node expect counters | clients_gone=2 | outcome_cancelled=2
         """)
 
 
@@ -732,7 +732,7 @@
 
 class Ending(Scenario):
     def test_what_is_owed_is_answered_after_sigterm(self) -> None:
-        # Real servers call back on new connections: closing the listener first would lose the flow.
+        # Real servers call back on new connections: closing the listener first would lose the request.
         self.start()
         self.play("""
             c send job a settle
--- a/tests/test_repeats.py
+++ b/tests/test_repeats.py
@@ -64,7 +64,7 @@
     # Seen: sent at 13.50 s, its second try found no connection at 13.91 s, and the third, held because no
     # other worker of the group was ready, left at 15.10 s, with a window of 1.5 s.
     net = three(keyed(1500 * MS))
-    asker = net.ask("a", 0, DEADLINE)
+    client = net.ask("a", 0, DEADLINE)
     up_and_written(net).lose()
     net.listed(api.DIFF, **{f"s-{n}": (api.DRAINING, 0, n) for n in (1, 2, 3)})
     advance(net, 200 * MS)
@@ -72,12 +72,12 @@
     advance(net, 1300 * MS)
     net.listed(api.DIFF, **{f"s-{n}": (api.ACTIVE, 0, n) for n in (1, 2, 3)})
     advance(net, 500 * MS)
-    assert len(net.wires) == 2 and asker.answers == ["failed"]
+    assert len(net.wires) == 2 and client.answers == ["failed"]
 
 
 def test_a_repeat_whose_connection_comes_up_too_late_never_leaves() -> None:
     net = three(keyed(600 * MS), connect_timeout=400 * MS, tells_start=False)
-    asker = net.ask("a", 0, DEADLINE)
+    client = net.ask("a", 0, DEADLINE)
     first = up_and_written(net)
     advance(net, 50 * MS)
     first.lose()
@@ -86,34 +86,34 @@
     second.up()
     second.flush(20)
     advance(net, 150 * MS)
-    assert second.over and second.message.endswith(b"...") and asker.answers == ["failed"]
+    assert second.over and second.message.endswith(b"...") and client.answers == ["failed"]
 
 
 @pytest.mark.parametrize("last", ["returned", "turned away"])
 def test_never_ran_after_a_start_was_told_proves_nothing(last: str) -> None:
     net = three(RequestClass(200 * MS, DEADLINE, UNSAFE))
-    asker = net.ask("a", 0, DEADLINE)
+    client = net.ask("a", 0, DEADLINE)
     wire = up_and_written(net)
     name = f"s-{wire.at[1]}"
     if last == "returned":
         wire.answer("202")
     net.call("a", name, "started")
     net.call("a", name, "returned") if last == "returned" else wire.answer(last)
-    assert not asker.answers, "first it is given up"
+    assert not client.answers, "first it is given up"
     wire.flush()
     wire.answer("204")
-    assert asker.answers == ["failed"] and len(net.wires) == 1
+    assert client.answers == ["failed"] and len(net.wires) == 1
 
 
 def test_no_word_counts_before_the_last_byte_has_left() -> None:
     net = three(RequestClass(200 * MS, DEADLINE, UNSAFE))
-    asker = net.ask("a", 0, DEADLINE)
+    client = net.ask("a", 0, DEADLINE)
     wire = net.live()[-1]
     for state in ("started", "returned", "done", "lost"):
         net.call("a", f"s-{wire.at[1]}", state)
     wire.up()
     wire.flush(10)
-    assert not asker.answers and len(net.wires) == 1 and net.counters.get("callbacks_unmatched") == 4
+    assert not client.answers and len(net.wires) == 1 and net.counters.get("callbacks_unmatched") == 4
     wire.answer("turned away")
     advance(net, 1 * MS)
     assert wire.over and wire.message.endswith(b"..."), "the rest must not follow: it would be begun"
@@ -142,7 +142,7 @@
 def test_a_server_that_left_and_came_back_is_not_asked_twice() -> None:
     net = Net(told(RequestClass(200 * MS, DEADLINE, UNSAFE)))
     net.listed(api.DISK, one=(api.ACTIVE, 0, 1))
-    asker = net.ask("a", 0, DEADLINE)
+    client = net.ask("a", 0, DEADLINE)
     wire = up_and_written(net)
     wire.answer("202")
     net.listed(api.DIFF, one=(api.GONE, 0, 1))
@@ -150,19 +150,19 @@
     net.call("a", "one", "returned")
     net.call("a", "one", "returned")  # it repeats each call until it is answered
     advance(net, DEADLINE)
-    assert net.counters.get("schedulings") == 1 and asker.answers == ["turned down"]
+    assert net.counters.get("attempts") == 1 and client.answers == ["turned down"]
 
 
 def test_a_server_that_moved_under_its_old_name_answers_for_neither_zone() -> None:
     net = Net(told(keyed(3 * SECOND)))
     net.listed(api.DISK, one=(api.ACTIVE, 0, 1), two=(api.DRAINING, 0, 2), three=(api.DRAINING, 1, 3))
-    asker = net.ask("a", 0, DEADLINE)
+    client = net.ask("a", 0, DEADLINE)
     up_and_written(net)
     net.listed(api.SNAPSHOT, two=(api.ACTIVE, 0, 2), three=(api.ACTIVE, 1, 3))
     net.listed(api.DIFF, one=(api.ACTIVE, 1, 1))
     net.call("a", "one", "lost")
     advance(net, DEADLINE)
-    assert len(net.wires) == 1 and asker.answers == ["failed"]
+    assert len(net.wires) == 1 and client.answers == ["failed"]
 
 
 def test_without_cancels_an_odd_answer_ends_with_its_connection() -> None:
@@ -293,7 +293,7 @@
 def happen(net: Watched, what: str, which: int, asked: dict[str, Any]) -> None:
     live, job = net.live(), f"j{which % len(asked)}"
     wire = live[which % len(live)] if live else None
-    schedulings = net.sent.get(job, [])
+    attempts = net.sent.get(job, [])
     if what in ("wait", "long"):
         advance(net, (30 if what == "wait" else 400) * MS)
     elif what == "go":  # all goes well for a while
@@ -311,13 +311,13 @@
         state = {"hide": api.DRAINING, "drop": api.GONE}.get(what, api.ACTIVE)
         net.listed(api.DIFF, **{name: (state, net.zones[name], int(name[2:])) for name in names})
     elif what == "leave":
-        asker, number = asked[job]
-        if which > 5 and not asker.answers:
-            net.flows.leave(number)
-            asked[job] = (asker, -1)
+        client, number = asked[job]
+        if which > 5 and not client.answers:
+            net.requests.leave(number)
+            asked[job] = (client, -1)
     elif what in ("started", "done", "failed", "returned", "lost"):
-        if schedulings:
-            net.tells(job, schedulings[which % len(schedulings)].name, what)
+        if attempts:
+            net.tells(job, attempts[which % len(attempts)].name, what)
     elif wire is not None:
         touch(net, wire, what)
 
@@ -343,15 +343,15 @@
     net.listed(api.DISK, **{name: (api.ACTIVE, zone, int(name[2:])) for name, zone in net.zones.items()})
     asked: dict[str, Any] = {}
     for n in range(2):
-        asker = net.ask(f"j{n}", 0, DEADLINE)
-        asked[f"j{n}"] = asker, net.flows._by_job.get(f"j{n}", -1)
+        client = net.ask(f"j{n}", 0, DEADLINE)
+        asked[f"j{n}"] = client, net.requests._by_job.get(f"j{n}", -1)
     for what, which in events:
         happen(net, what, which, asked)
-        for job, (asker, _) in asked.items():
-            if asker.answers == ["turned down"]:
+        for job, (client, _) in asked.items():
+            if client.answers == ["turned down"]:
                 assert net.may_refuse(job), f"{job} may have run and was refused"
-                asker.answers.append("checked")
+                client.answers.append("checked")
     advance(net, DEADLINE + SECOND)
-    for asker, number in asked.values():
-        assert (number < 0 or asker.answers) and len([a for a in asker.answers if a != "checked"]) < 2
+    for client, number in asked.values():
+        assert (number < 0 or client.answers) and len([a for a in client.answers if a != "checked"]) < 2
     assert not net.faults
--- a/tests/test_sim.py
+++ b/tests/test_sim.py
@@ -716,7 +716,7 @@
         self.assertEqual(answers, [200] * asked)
         self.assertEqual(self.lives(outcome, 0), [(0, w) for w in ("start", "ready", "term", "ended")])
         self.assertEqual([r.at for r in outcome.records], sorted(r.at for r in outcome.records))
-        self.assertEqual(sum(c["flows"] for c in outcome.counters), asked)
+        self.assertEqual(sum(c["requests"] for c in outcome.counters), asked)
         self.assertEqual([c.get("lists_error", 0) for c in outcome.counters], [0, 0])
         self.clean(outcome)
 
--- a/tests/test_tally.py
+++ b/tests/test_tally.py
@@ -7,14 +7,14 @@
 from tests.helpers import CLASSES, MS, SECOND, make
 from violetsaddle import Entry
 from violetsaddle.net.counters import Counters
-from violetsaddle.net.flows import Scheduling
+from violetsaddle.net.requests import Attempt
 from violetsaddle.net.tally import Tally
 
 AIM = CLASSES[0].aim
 
 
-def scheduling(server: int = 1, sent: int = SECOND) -> Scheduling:
-    return Scheduling(0, "a", 0, server, sent, "safe")
+def attempt(server: int = 1, sent: int = SECOND) -> Attempt:
+    return Attempt(0, "a", 0, server, sent, "safe")
 
 
 @pytest.mark.parametrize("cause", ["stale", "crowded", "blind", "cold", "abroad"])
@@ -27,7 +27,7 @@
     balancer.crowd, balancer.fleet.most_free[0] = (0.9 if cause == "crowded" else 0.1), 1.0
     balancer.workers[1].near = cause != "blind"
     counters = Counters("n")
-    tally, one = Tally(balancer, counters), scheduling()
+    tally, one = Tally(balancer, counters), attempt()
     tally.sent(one)
     tally.over(one, AIM, SECOND + AIM)
     tally.over(one, AIM, SECOND + 2 * AIM)
@@ -39,12 +39,12 @@
 def test_a_start_in_time_is_not_counted_nor_its_late_end_but_one_that_left_the_list_is() -> None:
     balancer, _ = make()
     counters = Counters("n")
-    tally, one = Tally(balancer, counters), scheduling()
+    tally, one = Tally(balancer, counters), attempt()
     tally.sent(one)
     tally.over(one, AIM, SECOND + 10 * MS)
     tally.over(one, AIM, 5 * SECOND)
     assert counters.get("late_stale") == 0
-    left = scheduling(server=99)
+    left = attempt(server=99)
     tally.sent(left)
     tally.over(left, AIM, 3 * SECOND)
     assert counters.get("late_stale") == 1, "it has left the list meanwhile"
@@ -56,7 +56,7 @@
     counters = Counters("n")
     tally = Tally(balancer, counters)
     balancer.workers[1].cold.tokens = 0.5
-    tally.sent(scheduling())
+    tally.sent(attempt())
     balancer.workers[1].cold.tokens = -0.5
-    tally.sent(scheduling())
+    tally.sent(attempt())
     assert (counters.get("sent_cold"), counters.get("sent_cold_over")) == (2, 1)
--- a/tests/test_told.py
+++ b/tests/test_told.py
@@ -35,9 +35,9 @@
             Settings(classes=(quote,), must_ask=asks, schedulers=nodes, me=seed % nodes, may_tell=True), seed
         )
         self.discovery = Discovery(
-            net, net.limits, net.deadlines, net.counters, net.flows, net.servers, AT, ("z",), ("k",), net
+            net, net.limits, net.deadlines, net.counters, net.requests, net.servers, AT, ("z",), ("k",), net
         )
-        net.flows.watcher = self.discovery
+        net.requests.watcher = self.discovery
         self.seen = 0  # wires
         if not asks:
             self.discovery.watch()
--- a/tests/wired.py
+++ b/tests/wired.py
@@ -1,4 +1,4 @@
-"""One node's flows, module and way to real servers, between a network and a clock that the test holds."""
+"""One node's requests, module and way to real servers, between a network and a clock that the test holds."""
 
 from __future__ import annotations
 
@@ -13,8 +13,8 @@
 from violetsaddle.net.counters import Counters
 from violetsaddle.net.deadlines import Deadlines
 from violetsaddle.net.edge import Shared, take_call
-from violetsaddle.net.flows import Failure, Flows
 from violetsaddle.net.limits import Limits
+from violetsaddle.net.requests import Failure, Requests
 from violetsaddle.net.servers import ServerConnection, Servers
 
 ANSWERS = {
@@ -108,7 +108,7 @@
         self.over, self.pending = True, b""
 
 
-class Asker:
+class Client:
     def __init__(self) -> None:
         self.answers: list[str] = []
         self.gone = False
@@ -144,10 +144,10 @@
         deadlines = self.deadlines = Deadlines(self, self, self.counters.fault)
         limits = self.limits = Limits.of(told, 1024)
         names = [str(n) for n in range(len(told.classes))]
-        self.flows = Flows(told, names, (), seed, limits, deadlines, self.counters)
-        self.servers = Servers(self, limits, deadlines, self.counters, self.flows, told, {})
-        self.flows.carrier = self.servers
-        self.shared = Shared(self.flows, limits, deadlines, self.counters, self.servers.report)
+        self.requests = Requests(told, names, (), seed, limits, deadlines, self.counters)
+        self.servers = Servers(self, limits, deadlines, self.counters, self.requests, told, {})
+        self.requests.carrier = self.servers
+        self.shared = Shared(self.requests, limits, deadlines, self.counters, self.servers.report)
 
     @property
     def now(self) -> int:
@@ -175,12 +175,12 @@
         ]
         at = {name: ("box", port) for name, (_, _, port) in places.items() if name not in gone}
         self.servers.listed(at, gone, kind != api.DIFF)
-        self.flows.listed(kind, entries)
+        self.requests.listed(kind, entries)
 
-    def ask(self, job: str, cls: int, remaining: int) -> Asker:
-        asker = Asker()
-        self.flows.arrive(job, str(cls), None, remaining, True, 1.0, None, 0, Job(job), asker)
-        return asker
+    def ask(self, job: str, cls: int, remaining: int) -> Client:
+        client = Client()
+        self.requests.arrive(job, str(cls), None, remaining, True, 1.0, None, 0, Job(job), client)
+        return client
 
     def call(self, job: str, name: str, state: str) -> None:
         take_call(self.shared, {"id": job, "from": name, "state": state, "result": "r"})
--- a/violetsaddle/decide/proof.py
+++ b/violetsaddle/decide/proof.py
@@ -1,10 +1,10 @@
-"""What is proven of a scheduling: its life, and the outcome that each word about it allows.
+"""What is proven of an attempt: its life, and the outcome that each word about it allows.
 
-A request may be sent again, or refused, only on proof that no earlier scheduling of it ran.  What counts
-as proof is the table of PROTOCOL ("what comes back"); here it is one table over the scheduling's life, under
+A request may be sent again, or refused, only on proof that no earlier attempt of it ran.  What counts
+as proof is the table of PROTOCOL ("what comes back"); here it is one table over the attempt's life, under
 five rules that the table of outcomes alone leaves open:
 
-- Before the last byte has left, nothing that a real server says can be about this scheduling: callbacks are
+- Before the last byte has left, nothing that a real server says can be about this attempt: callbacks are
   passed over, and the end of the connection proves that it never ran.
 - "Never ran" (`RETURNED`, `TURNED_AWAY`) after a start was told is a contradiction and proves nothing: it may
   have run.
@@ -67,7 +67,7 @@
     Word.BROKE: Step(Life.ENDED, api.RESET),
     Word.ERRED: Step(Life.ENDED, api.ERROR),
 }
-# What a word makes of a scheduling; one that is not here proves nothing, and is passed over.
+# What a word makes of an attempt; one that is not here proves nothing, and is passed over.
 TABLE: dict[Life, dict[Word, Step]] = {
     Life.UNSENT: {
         Word.WRITTEN: Step(Life.SENT),
--- a/violetsaddle/decide/upgrade.py
+++ b/violetsaddle/decide/upgrade.py
@@ -72,7 +72,7 @@
     SPAWN = "start the successor"
     GIVE = "hand the sockets, the state and the ids over, then say whole"
     PAUSE = "accept no more, read no more datagrams, tell peers nothing"
-    SAY_GO = "name the flows that are open and say go"
+    SAY_GO = "name the requests that are open and say go"
     DRAIN = "end clients' connections with their next answer"
     KILL = "hang up, kill the successor and wait for its end"
     LOOK = "look whether the successor has ended"
--- a/violetsaddle/lab/sim/node.py
+++ b/violetsaddle/lab/sim/node.py
@@ -376,9 +376,12 @@
 
 def holdings(node: Node) -> dict[str, int]:
     """What a node has in its tables."""
-    balancer: Any = node.flows._balancer
+    requests: Any = getattr(node, "requests", None)
+    if requests is None:  # a checkout of before the name changed, played by `--tree`
+        requests = vars(node)["flows"]
+    balancer: Any = requests._balancer
     return {
-        "flows": len(node.flows),
+        "flows": len(requests),
         "requests": len(getattr(balancer, "requests", ())),
         "edge connections": len(node.edge.shared.connections),
         "server connections": len(node.servers._connections),
--- a/violetsaddle/net/counters.py
+++ b/violetsaddle/net/counters.py
@@ -10,6 +10,15 @@
 
 from violetsaddle.net.outlet import Outlet
 
+# Counters that were renamed, with the names they had before.  Operators' tools may read the old ones, so the
+# line of counters shows each under both names with the same value.
+FORMER_NAMES = {
+    "requests": "flows",
+    "attempts": "schedulings",
+    "clients_gone": "askers_gone",
+    "held_requests": "held_flows",
+}
+
 
 class Sink(Protocol):
     """Where an operator file sends the log; none of its methods raises."""
@@ -49,7 +58,7 @@
         self.say(text + ": " + "".join(traceback.format_exception(error)))
 
     def event(self, name: str, level: str = "info", /, **fields: object) -> None:
-        """Something that happened to a flow, scheduling or real server; without a log of its own, nothing."""
+        """Something that happened to a request, attempt or real server; without a log of its own, nothing."""
         if self._log is not None:
             self._log.event(name, level, **fields)
 
@@ -64,4 +73,5 @@
 
     def show(self) -> None:
         shown = {**self._counts, **{f"held_{what}": count for what, count in self.held().items()}}
+        shown.update((old, shown[new]) for new, old in FORMER_NAMES.items() if new in shown)
         self.say("counters " + " ".join(f"{k}={v}" for k, v in sorted(shown.items())))
--- a/violetsaddle/net/discovery.py
+++ b/violetsaddle/net/discovery.py
@@ -14,8 +14,8 @@
 from violetsaddle.net import http
 from violetsaddle.net.counters import Counters
 from violetsaddle.net.deadlines import Clock, Deadlines, Reactor
-from violetsaddle.net.flows import Flows
 from violetsaddle.net.limits import MS, Limits
+from violetsaddle.net.requests import Requests
 from violetsaddle.net.servers import Broken, NotConnected, ServerConnection, Servers, dial
 
 MOST_DOUBLINGS = 2  # of the time for an answer, after calls that were given up: 1.1 s, 2.2 s, 4.4 s
@@ -34,7 +34,7 @@
 
 
 class Discovery:
-    """Implements `flows.Watcher`."""
+    """Implements `requests.Watcher`."""
 
     def __init__(
         self,
@@ -42,7 +42,7 @@
         limits: Limits,
         deadlines: Deadlines,
         counters: Counters,
-        flows: Flows,
+        requests: Requests,
         servers: Servers,
         at: tuple[str, int],
         zones: Sequence[str],
@@ -50,7 +50,7 @@
         clock: Clock,
     ) -> None:
         self._reactor, self._limits, self._deadlines, self._counters = reactor, limits, deadlines, counters
-        self._flows, self._servers, self._host, self._port = flows, servers, *at
+        self._requests, self._servers, self._host, self._port = requests, servers, *at
         self._zones = {name: index for index, name in enumerate(zones)}
         self._kinds = {name: index for index, name in enumerate(kinds)}
         # Discovery tells Unix time, the module's clock is the monotonic one: this is what lies between.
@@ -100,7 +100,7 @@
             self._entries[item["id"]] = entry
         for name in gone:
             self._entries.pop(name, None)
-        self._flows.listed(kind or (api.SNAPSHOT if whole else api.DIFF), entries)
+        self._requests.listed(kind or (api.SNAPSHOT if whole else api.DIFF), entries)
 
     def _take_drains(self, told: Any) -> None:
         """Of a list that can't be taken: who wants nothing more.  That is told all the same, and one entry
@@ -125,7 +125,7 @@
             self._entries[name] = entry
         for name in gone:
             del self._entries[name]
-        self._flows.listed(api.DIFF, entries)
+        self._requests.listed(api.DIFF, entries)
 
     def _entry(self, item: dict[str, Any]) -> api.Entry:
         name, state = item["id"], STATES[item.get("state", "up")]
@@ -191,7 +191,7 @@
         self._watching, self._doubt = False, True
         self._hang_up()
         if not self._stopped:
-            self._flows.listed(api.LIST_ERROR, ())
+            self._requests.listed(api.LIST_ERROR, ())
 
     async def _watch(self, round: int) -> None:
         """Asks again as soon as an answer is taken in, until a call fails."""
--- a/violetsaddle/net/edge.py
+++ b/violetsaddle/net/edge.py
@@ -20,8 +20,8 @@
 from violetsaddle.net import http
 from violetsaddle.net.counters import Counters
 from violetsaddle.net.deadlines import Deadlines, Patience, Transport
-from violetsaddle.net.flows import Failure, Flows, Unfit
 from violetsaddle.net.limits import MS, SECOND, Limits
+from violetsaddle.net.requests import Failure, Requests, Unfit
 from violetsaddle.net.slots import SlotTable
 
 try:
@@ -46,7 +46,7 @@
 
 
 class HttpOrder:
-    """A client's request as real servers get it; a copy, for several schedulings may need it."""
+    """A client's request as real servers get it; a copy, for several attempts may need it."""
 
     __slots__ = ("_head", "_body")
 
@@ -67,7 +67,7 @@
 class Shared:
     """What every edge connection works with."""
 
-    flows: Flows
+    requests: Requests
     limits: Limits
     deadlines: Deadlines
     counters: Counters
@@ -105,7 +105,7 @@
 
 
 def subject(query: str) -> int | None:
-    """The number that stands for what the flow is about, the same at every node."""
+    """The number that stands for what the request is about, the same at every node."""
     for name, value in parse_qsl(query) if "sid=" in query else ():
         if name == "sid":
             return int.from_bytes(blake2b(value.encode(), digest_size=8).digest(), "big") >> 11
@@ -125,8 +125,8 @@
 
 
 def take_call(shared: Shared, call: dict[str, Any]) -> None:
-    """What a real server tells of a scheduling; its reply is out already."""
-    scheduling, state = shared.flows.find(call["id"], call["from"]), call["state"]
+    """What a real server tells of an attempt; its reply is out already."""
+    attempt, state = shared.requests.find(call["id"], call["from"]), call["state"]
     result, word = call.get("result"), STATES.get(call["state"])
     share = call.get("share") if state == "running" else 0.0
     if word is None or not isinstance(share, (int, float)) or not 0 <= share <= 1:
@@ -134,15 +134,15 @@
         return
     if word is Word.DONE and not isinstance(result, str):
         word = Word.FAILED  # it ran, but there is nothing of its own to pass on
-    if scheduling is None or not shared.flows.word(
-        scheduling,
+    if attempt is None or not shared.requests.word(
+        attempt,
         word,
         shared.report(call.get("load")),
         result.encode("utf-8", "surrogatepass") if isinstance(result, str) else None,
     ):
         shared.counters.add("callbacks_unmatched")
     elif word is Word.STARTED:
-        shared.flows.noted(scheduling, api.PROGRESS if state == "running" else api.STARTED, float(share))
+        shared.requests.noted(attempt, api.PROGRESS if state == "running" else api.STARTED, float(share))
 
 
 class EdgeConnection(Protocol):
@@ -155,8 +155,8 @@
         self._shared, self._home, self._spare = shared, home, spare
         self._parser = http.Parser(shared.limits, shared.limits.body)
         self.number = -1
-        self._flow = -1
-        self._awaited = False  # a flow's final answer is still to come
+        self._request = -1
+        self._awaited = False  # a request's final answer is still to come
         self._closing = False  # the answer written last says so
         self._close_next = home.closing  # the present request is the last one
         self._continued = False
@@ -206,7 +206,7 @@
 
     def gives_way(self, now: int) -> tuple[int, int] | None:
         """Its place among those that make room at the limit, the lowest first; None: not to be closed."""
-        # Not a real server's: at the limit it could not come back to tell how a flow ends.
+        # Not a real server's: at the limit it could not come back to tell how a request ends.
         if self.calls_back or self._awaited or (self._parser.held and not self._closing):
             return None
         settled = now - self._since >= self._shared.limits.edge_settled
@@ -249,7 +249,7 @@
         self._shared.connections.free(self.number)
         if self._awaited:
             self._awaited = False
-            self._shared.flows.leave(self._flow)
+            self._shared.requests.leave(self._request)
         self._home.gone()
 
     def _wait(self, time: int) -> None:
@@ -258,7 +258,7 @@
             self._patience.set(time)
 
     def _rest(self) -> None:
-        """Nothing is waited for but a flow's answer."""
+        """Nothing is waited for but a request's answer."""
         if self._patience is not None:
             self._patience.rest()
 
@@ -336,7 +336,7 @@
         if self._awaited:
             # A client sends one request at a time; what it sends ahead waits, within bounds, and the rest is
             # passed over.  Left to the kernel it would hide that the client goes; to close instead would lose
-            # the flow whose answer is owed.
+            # the request whose answer is owed.
             self._count_ahead(self._parser.held)
             limits = self._shared.limits
             self._spilt = self._ahead > limits.edge_ahead or self._home.ahead > limits.edge_ahead_all
@@ -351,7 +351,7 @@
         if self._ahead:
             self._count_ahead(0)
         # Guards against a mix-up: an answer given at once must not take in the next request before the
-        # present one's number is noted, or a client that goes would end the wrong flow.
+        # present one's number is noted, or a client that goes would end the wrong request.
         if self._reading:
             return
         self._reading = True
@@ -437,7 +437,7 @@
                 raise Unfit("X-Lane is missing")
             self._awaited = True
             self._rest()
-            number = self._shared.flows.arrive(
+            number = self._shared.requests.arrive(
                 job,
                 cls,
                 message.header("x-org"),
@@ -449,13 +449,13 @@
                 HttpOrder(message),
                 self,
             )
-            self._flow = number
+            self._request = number
         except Unfit as error:
             self._awaited = False
             self._answer(400, str(error).encode())
 
     def _call(self, message: http.Message) -> None:
-        """A real server tells what becomes of a scheduling."""
+        """A real server tells what becomes of an attempt."""
         body = bytes(message.body)
         try:
             call = called(body)
@@ -464,7 +464,7 @@
             self._answer(400, b"not a callback")
             return
         self._shared.counters.add("callbacks")
-        if self._home.pass_on is not None and not self._shared.flows.holds(call["id"]):
+        if self._home.pass_on is not None and not self._shared.requests.holds(call["id"]):
             self._awaited = True
             self._rest()
             self._home.pass_on(body, self._final)
@@ -488,7 +488,7 @@
     def _final(self, status: int, body: bytes = b"", headers: str = "") -> None:
         if not self._awaited or self._lost:
             return
-        self._awaited, self._flow = False, -1
+        self._awaited, self._request = False, -1
         self._answer(status, body, headers)
         if (self._parser.held or self._spilt) and not self._closing:
             self._take_in(True)
@@ -516,15 +516,15 @@
         self.ahead = 0  # bytes kept that clients have sent ahead, over all connections
         self.when_empty: Callable[[], None] | None = None
         self.when_gone: Callable[[], None] | None = None  # called as each connection has ended
-        # Where two processes of this node serve at once: takes a callback on a flow that is not open here,
+        # Where two processes of this node serve at once: takes a callback on a request that is not open here,
         # and what to give the status to that the other one answers.
         self.pass_on: Callable[[bytes, Callable[[int], None]], None] | None = None
 
     def buildProtocol(self, addr: IAddress | None) -> EdgeConnection:
         limits, held = self.shared.limits, len(self.shared.connections) + 1
         if held >= limits.edge_connections and not self._make_room():
-            # None is idle.  Beyond the limit a few are taken for real servers' calls, without which no flow
-            # would end; then new ones wait in the backlog until one has ended.
+            # None is idle.  Beyond the limit a few are taken for callbacks, without which no request would
+            # end; then new ones wait in the backlog until one has ended.
             self.held = True
             if held >= limits.edge_connections + limits.edge_spare:
                 self.hold(True)
--- a/violetsaddle/net/limits.py
+++ b/violetsaddle/net/limits.py
@@ -21,17 +21,17 @@
     dial: int
     edge_spare: int = 16  # connections beyond `edge_connections`, for real servers' calls alone
     quiet: int = 25 * MS  # after an answer, a second one to the same request may come for so long
-    doubt: int = 10 * SECOND  # kept connections carry no schedulings so long after one broke in use
+    doubt: int = 10 * SECOND  # kept connections carry no attempts so long after one broke in use
     head: int = 16 * 1024
     fields: int = 100  # in one head
     body: int = 64 * 1024
     answer_body: int = 1024 * 1024  # of what real servers answer
     list_body: int = 8 * 1024 * 1024  # of discovery's lists: a thousand servers take 0.2 to 0.6 MB
-    identity: int = 128  # characters of a flow's id
+    identity: int = 128  # characters of a request's id
     answer_margin: int = 5 * MS  # the module's deadline comes so long before the client's
     probe: int = 250 * MS
     datagram: int = 256
-    remembered: int = 4096  # ids of flows that are over
+    remembered: int = 4096  # ids of requests that are over
     give_up: int = 2 * SECOND  # for the answer to a DELETE
     delete_tries: int = 3  # one that was lost with its connection, or got none, goes out so often
     delete_pause: int = 100 * MS  # before the third; the second goes out at once
--- a/violetsaddle/net/node.py
+++ b/violetsaddle/net/node.py
@@ -17,9 +17,9 @@
 from violetsaddle.net.deadlines import Clock, Deadlines, Reactor, SystemClock
 from violetsaddle.net.discovery import Discovery
 from violetsaddle.net.edge import FOREVER, EdgeFactory, Shared
-from violetsaddle.net.flows import Decider, Flows
 from violetsaddle.net.limits import Limits
 from violetsaddle.net.peers import Peers
+from violetsaddle.net.requests import Decider, Requests
 from violetsaddle.net.servers import Servers
 from violetsaddle.policy import Balancer
 
@@ -82,7 +82,7 @@
         """Peers can be heard and told."""
 
     def close(self, done: Callable[[], None]) -> None:
-        """The last flow is over; `done` is called once nothing is left to do."""
+        """The last request is over; `done` is called once nothing is left to do."""
 
 
 class Node:
@@ -106,7 +106,7 @@
         self.deadlines = Deadlines(reactor, clock, self.counters.fault)
         if log is not None:
             log.timer = self.deadlines.after
-        self.flows = Flows(
+        self.requests = Requests(
             config.told,
             config.classes,
             config.tenants,
@@ -117,28 +117,28 @@
             decider,
         )
         self.servers = Servers(
-            reactor, self.limits, self.deadlines, self.counters, self.flows, config.told, config.fields
+            reactor, self.limits, self.deadlines, self.counters, self.requests, config.told, config.fields
         )
         self.discovery = Discovery(
             reactor,
             self.limits,
             self.deadlines,
             self.counters,
-            self.flows,
+            self.requests,
             self.servers,
             config.discovery,
             config.zones,
             config.kinds,
             clock,
         )
-        self.flows.carrier, self.flows.watcher = self.servers, self.discovery
+        self.requests.carrier, self.requests.watcher = self.servers, self.discovery
         if self.limits.silence:
             from violetsaddle.decide.recovery import Recovery
 
-            self.flows.doubter = Recovery(self.deadlines.now(), self.limits.silence)
+            self.requests.doubter = Recovery(self.deadlines.now(), self.limits.silence)
         self.edge = EdgeFactory(
             Shared(
-                self.flows,
+                self.requests,
                 self.limits,
                 self.deadlines,
                 self.counters,
@@ -153,7 +153,7 @@
         self._saving = False  # the keeper has still something to do
         self.keeper = keep(self) if keep is not None else None
         self._stopping = self._closing = self._finishing = self._ended = False
-        self.guest: Callable[[], bool] = lambda: False  # another process's flows still need our listener
+        self.guest: Callable[[], bool] = lambda: False  # another process's requests still need our listener
         self.moved = False  # discovery is where the configuration says, whatever the environment told
         self.status = 0
 
@@ -206,13 +206,18 @@
     def _join(self, datagrams: socket.socket | None) -> None:
         if self.config.peer_listen is not None and self.config.told.may_tell:
             peers = self._peers = Peers(
-                self.reactor, self.limits, self.counters, self.flows, self.config.peers, self.config.peers_all
+                self.reactor,
+                self.limits,
+                self.counters,
+                self.requests,
+                self.config.peers,
+                self.config.peers_all,
             )
             if datagrams is None:
                 peers.listen(self.config.peer_listen)
             else:
                 peers.adopt(datagrams.fileno(), datagrams.family)
-            self.flows.teller = peers
+            self.requests.teller = peers
 
     def _listens(self, port: Any) -> None:
         self._port = port
@@ -234,29 +239,29 @@
             self._port.stopReading()
         if self._peers is not None:
             self._peers.pause()
-        self.flows.teller = None
+        self.requests.teller = None
 
     def resume(self) -> None:
         self._paused = self.edge.closing = False
-        self.flows.when_idle = self.edge.when_empty = None
+        self.requests.when_idle = self.edge.when_empty = None
         self._hold(self.edge.held)
         if self._peers is not None:
             self._peers.resume()
-        self.flows.teller = self._peers
+        self.requests.teller = self._peers
 
     def drain(self, idle_for: int, empty: Callable[[], None]) -> None:
         """Ends what clients have here: each connection with its next answer, and one that is not used within
         `idle_for` microseconds then.  `empty` is called when nothing is left."""
 
         def look() -> None:
-            if not len(self.flows) and not len(self.edge.shared.connections):
+            if not len(self.requests) and not len(self.edge.shared.connections):
                 empty()
 
         def close_unused() -> None:
             if self._paused:
                 self.edge.close_unused()
 
-        self.flows.when_idle = self.edge.when_empty = look
+        self.requests.when_idle = self.edge.when_empty = look
         self.edge.hand_over()
         self.deadlines.after(idle_for, close_unused)
         look()
@@ -274,7 +279,7 @@
     def held(self) -> dict[str, int]:
         """What the node holds now; after its end each must be 0."""
         return {
-            "flows": len(self.flows),
+            "requests": len(self.requests),
             "edge": len(self.edge.shared.connections),
             "servers": self.servers.held,
         }
@@ -305,16 +310,16 @@
         if not self._stopping:
             self._stopping = True
             self.counters.say("stopping")
-            self.flows.last_word = self.deadlines.now() + self.limits.last_word
+            self.requests.last_word = self.deadlines.now() + self.limits.last_word
             self.deadlines.after(self.limits.linger, self._hurry)
             self.deadlines.after(self.limits.keep_asking, self.edge.announce)
             self.deadlines.after(self.limits.keep_idle, self._close)
 
     def _hurry(self) -> None:
         """No new connections come any more, but clients use the ones they have: where the other nodes of the
-        zone are down too, these are their only way.  New flows must end before SIGKILL may come."""
+        zone are down too, these are their only way.  New requests must end before SIGKILL may come."""
         self.counters.say("new flows end by the last word")
-        self.flows.ending = True
+        self.requests.ending = True
 
     def _close(self) -> None:
         """What is owed is still finished; real servers call back at the node's address, so it stays open
@@ -325,8 +330,8 @@
 
     def _closed(self) -> None:
         self._closing = True
-        self.flows.when_idle = self.edge.when_gone = self.settle
-        self.deadlines.add(max(self.deadlines.now(), self.flows.last_word), self.settle)
+        self.requests.when_idle = self.edge.when_gone = self.settle
+        self.deadlines.add(max(self.deadlines.now(), self.requests.last_word), self.settle)
         self.settle()
 
     def settle(self) -> None:
@@ -335,9 +340,9 @@
         A connection stays open on which something lies unread, or has come in part: it may be a request."""
         if (
             self._closing
-            and not len(self.flows)
+            and not len(self.requests)
             and not self.guest()
-            and (not self.edge.owes or self.deadlines.now() >= self.flows.last_word)
+            and (not self.edge.owes or self.deadlines.now() >= self.requests.last_word)
         ):
             self.finish()
 
@@ -346,7 +351,7 @@
         if self._finishing:
             return
         self._finishing = True
-        self.flows.when_idle = self.edge.when_gone = None
+        self.requests.when_idle = self.edge.when_gone = None
         self.discovery.stop()
         if self._port is not None:
             self._port.stopListening()
--- a/violetsaddle/net/peers.py
+++ b/violetsaddle/net/peers.py
@@ -9,12 +9,12 @@
 
 from violetsaddle.net.counters import Counters
 from violetsaddle.net.deadlines import Reactor, Transport
-from violetsaddle.net.flows import Flows
 from violetsaddle.net.limits import Limits
+from violetsaddle.net.requests import Requests
 
 
 class Peers(DatagramProtocol):
-    """Implements `flows.Teller`; what comes late or never is the module's to bear."""
+    """Implements `requests.Teller`; what comes late or never is the module's to bear."""
 
     noisy = False
     transport: Transport
@@ -24,11 +24,11 @@
         reactor: Reactor,
         limits: Limits,
         counters: Counters,
-        flows: Flows,
+        requests: Requests,
         peers: Sequence[tuple[str, int]],
         everyone: tuple[str, int] | None,
     ) -> None:
-        self._reactor, self._limits, self._counters, self._flows = reactor, limits, counters, flows
+        self._reactor, self._limits, self._counters, self._requests = reactor, limits, counters, requests
         self._addresses = list(peers)
         self.aside: Callable[[int, bytes], bool] | None = None  # takes a datagram that is not the module's
         self._numbers = {address: number for number, address in enumerate(peers)}
@@ -65,7 +65,7 @@
             return
         self._counters.add("heard")
         if self.aside is None or not self.aside(number, data):
-            self._flows.heard(number, data)
+            self._requests.heard(number, data)
 
     def tell(self, data: bytes, to: int | None = None) -> None:
         """To one node by its number, or to all."""
--- a/violetsaddle/net/flows.py
+++ b/violetsaddle/net/requests.py
@@ -1,7 +1,7 @@
-"""Flows: each from its arrival to its one final answer.
+"""Requests: each from its arrival to its one final answer.
 
 Implements the module's `Actions` and is the only caller of its `Balancer`.  Knows no protocol: whoever takes
-flows in hands over an `Order` and an `Asker`, and all go through the same decisions under the same rules."""
+requests in hands over an `Order` and a `Client`; all go through the same decisions under the same rules."""
 
 from __future__ import annotations
 
@@ -25,25 +25,25 @@
 
 
 class Unfit(Exception):
-    """A flow that cannot be taken in; the text says why."""
+    """A request that cannot be taken in; the text says why."""
 
 
 class Failure(enum.Enum):
-    """Why a flow failed, as far as its asker may want to tell."""
+    """Why a request failed, as far as its client may want to tell."""
 
     BROKEN = "broken"  # a real server's error, or no word that it ran
     LATE = "late"  # time ran out
 
 
 class Order(Protocol):
-    """What a flow asks of a real server."""
+    """What a request asks of a real server."""
 
     def message(self, host: str, wait: int) -> Sequence[bytes]:
         """The bytes to send; the node waits for the outcome for so many microseconds."""
 
 
-class Asker(Protocol):
-    """Who waits for the flow's final answer; exactly one of these is called, once."""
+class Client(Protocol):
+    """Who waits for the request's final answer: one of the first three methods is called, once."""
 
     def served(self, result: bytes) -> None: ...
 
@@ -52,15 +52,15 @@
     def failed(self, why: Failure) -> None: ...
 
     def left(self) -> bool:
-        """Whether it has gone, also if nobody was told yet: asked just before a scheduling leaves."""
+        """Whether it has gone, also if nobody was told yet: asked just before an attempt leaves."""
         ...
 
 
-class Scheduling:
-    """One attempt of a flow at a real server."""
+class Attempt:
+    """One attempt of a request at a real server."""
 
     __slots__ = (
-        "flow",
+        "request",
         "job",
         "number",
         "server",
@@ -75,9 +75,9 @@
         "doubt",
     )
 
-    def __init__(self, flow: int, job: str, number: int, server: int, sent: int, effect: str) -> None:
-        self.effect = effect  # of its flow's class
-        self.flow, self.job, self.number, self.server, self.sent = flow, job, number, server, sent
+    def __init__(self, request: int, job: str, number: int, server: int, sent: int, effect: str) -> None:
+        self.effect = effect  # of its request's class
+        self.request, self.job, self.number, self.server, self.sent = request, job, number, server, sent
         self.life = Life.UNSENT
         self.late: Deadline | None = None
         self.unsent: Deadline | None = None  # its last byte must have left by then
@@ -98,11 +98,11 @@
 
 
 class Carrier(Protocol):
-    """What brings schedulings to real servers."""
+    """What brings attempts to real servers."""
 
-    def carry(self, scheduling: Scheduling, order: Order, until: int) -> None: ...
+    def carry(self, attempt: Attempt, order: Order, until: int) -> None: ...
 
-    def give_up(self, scheduling: Scheduling) -> Deferred[None]:
+    def give_up(self, attempt: Attempt) -> Deferred[None]:
         """Fires once the real server has been told, or can't be."""
 
     def probe(self, server: int) -> None: ...
@@ -135,30 +135,30 @@
 Decider: TypeAlias = Callable[[api.Settings, int, int, api.Actions], Any]
 
 
-class Flow:
+class Request:
     __slots__ = (
         "number",
         "job",
         "order",
-        "asker",
+        "client",
         "deadline",
-        "schedulings",
+        "attempts",
         "guard",
         "late",
         "effect",
         "aim",
     )
 
-    def __init__(self, job: str, order: Order, asker: Asker, deadline: int, spec: api.RequestClass) -> None:
+    def __init__(self, job: str, order: Order, client: Client, deadline: int, spec: api.RequestClass) -> None:
         self.effect, self.aim = spec.effect, spec.aim
         self.number, self.job, self.order, self.deadline = -1, job, order, deadline
-        self.asker: Asker | None = asker  # None: the final answer is given
-        self.schedulings: list[Scheduling] = []
+        self.client: Client | None = client  # None: the final answer is given
+        self.attempts: list[Attempt] = []
         self.guard: Deadline | None = None
-        self.late = False  # time ran out on the last scheduling
+        self.late = False  # time ran out on the last attempt
 
 
-class Flows:
+class Requests:
     def __init__(
         self,
         told: api.Settings,
@@ -174,19 +174,19 @@
         self._told, self._limits, self._deadlines, self._counters = told, limits, deadlines, counters
         self._classes = {name: index for index, name in enumerate(classes)}
         self._tenants = {name: index for index, name in enumerate(tenants)}
-        self._table: SlotTable[Flow] = SlotTable()
+        self._table: SlotTable[Request] = SlotTable()
         self._by_job: dict[str, int] = {}
         self._events: deque[Callable[[], None]] = deque()
         self._telling = False
         self.carrier: Carrier
         self.watcher: Watcher
         self.doubter: Doubter | None = None  # None: the list is believed
-        self.ending = False  # the program is to end: flows that come now have their answer by `last_word`
+        self.ending = False  # the program is to end: requests that come now have their answer by `last_word`
         self.last_word = 0
         self.teller: Teller | None = None  # None: there are no peers, or no way to them
-        self._over: OrderedDict[str, None] = OrderedDict()  # ids of the last flows that are over
-        self.when_idle: Callable[[], None] | None = None  # called when the last flow has ended
-        self.elsewhere: set[str] = set()  # ids of flows that are open in another process of this node
+        self._over: OrderedDict[str, None] = OrderedDict()  # ids of the last requests that are over
+        self.when_idle: Callable[[], None] | None = None  # called when the last request has ended
+        self.elsewhere: set[str] = set()  # ids of requests that are open in another process of this node
         self.on_id: Callable[[str, bool], None] | None = None  # told of each id taken in, and when it is over
         self._balancer = decider(told, seed, deadlines.now(), self)
         self._tally = Tally(self._balancer, counters) if isinstance(self._balancer, Balancer) else None
@@ -197,7 +197,7 @@
     # Ids, for another process of the same node.
 
     def holds(self, job: str) -> bool:
-        """Whether a flow with this id is open here."""
+        """Whether a request with this id is open here."""
         return job in self._by_job
 
     def open_ids(self) -> list[str]:
@@ -232,9 +232,9 @@
         key: int | None,
         hint: int,
         order: Order,
-        asker: Asker,
+        client: Client,
     ) -> int:
-        """Takes a flow in and gives its number; raises `Unfit` if it can't be."""
+        """Takes a request in and gives its number; raises `Unfit` if it can't be."""
         index = self._classes.get(cls)
         if index is None:
             raise Unfit("unknown class")
@@ -245,7 +245,7 @@
             raise Unfit("no time remains")
         if self._told.classes[index].effect == api.KEYED and not repeat_key:
             raise Unfit("this class needs a key against repeats")
-        # Guards against an id sent again once its flow is over: real servers may have run it already.
+        # Guards against an id sent again once its request is over: real servers may have run it already.
         if job in self._by_job or job in self._over or job in self.elsewhere:
             raise Unfit("the id is in use")
         now = self._deadlines.now()
@@ -253,56 +253,56 @@
             remaining = max(1, min(remaining, self.last_word - now))
         # The module's time ends a little before the client's: the answer needs some to arrive.
         given = remaining - min(self._limits.answer_margin, remaining // 10)
-        flow = Flow(job, order, asker, now + given, self._told.classes[index])
-        number = flow.number = self._table.put(flow)
+        request = Request(job, order, client, now + given, self._told.classes[index])
+        number = request.number = self._table.put(request)
         self._by_job[job] = number
         if self.on_id is not None:
             self.on_id(job, False)
-        # Guards against a flow the module holds or lost past its deadline.
-        flow.guard = self._deadlines.add(now + remaining, lambda: self._overdue(number))
-        self._counters.add("flows")
-        self._tell(lambda: self._request(number, index, place, given, slots, key, hint))
+        # Guards against a request the module holds or lost past its deadline.
+        request.guard = self._deadlines.add(now + remaining, lambda: self._overdue(number))
+        self._counters.add("requests")
+        self._tell(lambda: self._submit(number, index, place, given, slots, key, hint))
         return number
 
-    def _request(
+    def _submit(
         self, number: int, cls: int, tenant: int, remaining: int, slots: float, key: int | None, hint: int
     ) -> None:
-        flow = self._table.get(number)
-        if flow is None:
+        request = self._table.get(number)
+        if request is None:
             return
         try:
             # A guess beyond the class's whole time is none, and would spoil the module's means.
             hint = min(hint, self._told.classes[cls].deadline)
             self._balancer.request(
-                flow.deadline - remaining, flow.job, cls, remaining, tenant, slots, key, hint
+                request.deadline - remaining, request.job, cls, remaining, tenant, slots, key, hint
             )
         except Exception as error:
             self._counters.fault("the module failed on a flow", error)
-            self._fail(flow, Failure.BROKEN)
+            self._fail(request, Failure.BROKEN)
 
     def leave(self, number: int) -> None:
-        """The asker has gone: nothing more is owed."""
-        flow = self._table.get(number)
-        if flow is None or flow.asker is None:
+        """The client has gone: nothing more is owed."""
+        request = self._table.get(number)
+        if request is None or request.client is None:
             return
-        self._counters.add("askers_gone")
-        flow.asker = None
-        job = flow.job
+        self._counters.add("clients_gone")
+        request.client = None
+        job = request.job
         self._tell(lambda: self._balancer.gone(self._deadlines.now(), job))
-        for scheduling in flow.schedulings:
-            if scheduling.life is Life.UNSENT:
+        for attempt in request.attempts:
+            if attempt.life is Life.UNSENT:
                 # It would still leave where it waits for a connection and cancels are not allowed.
-                self.carrier.give_up(scheduling)
-                self.ended(scheduling, api.MOOT)
-        self._tidy(flow)
-
-    def wanted(self, scheduling: Scheduling) -> bool:
-        """Whether somebody waits for a scheduling whose first byte is to leave now."""
-        flow = self._table.get(scheduling.flow)
-        if flow is None or flow.asker is None or scheduling.life is not Life.UNSENT:
+                self.carrier.give_up(attempt)
+                self.ended(attempt, api.MOOT)
+        self._tidy(request)
+
+    def wanted(self, attempt: Attempt) -> bool:
+        """Whether somebody waits for an attempt whose first byte is to leave now."""
+        request = self._table.get(attempt.request)
+        if request is None or request.client is None or attempt.life is not Life.UNSENT:
             return False
-        if flow.asker.left():
-            self.leave(flow.number)
+        if request.client.left():
+            self.leave(request.number)
             return False
         return True
 
@@ -341,7 +341,7 @@
         return what(self._balancer, self._deadlines.now())
 
     def ids(self) -> list[str]:
-        """Those that must not be taken again: of the flows that are over, and of those that are open."""
+        """Those that must not be taken again: of the requests that are over, and of those that are open."""
         return [*self._over, *self._by_job][-self._limits.remembered :]
 
     def remember(self, ids: Sequence[str]) -> None:
@@ -350,212 +350,210 @@
             if len(job) <= self._limits.identity:
                 self._over[job] = None
 
-    def find(self, job: str, name: str) -> Scheduling | None:
-        """The scheduling that a real server, known by its name, may still speak of."""
-        flow = self._table.get(self._by_job.get(job, -1))
-        if flow is None or not flow.schedulings:
+    def find(self, job: str, name: str) -> Attempt | None:
+        """The attempt that a real server, known by its name, may still speak of."""
+        request = self._table.get(self._by_job.get(job, -1))
+        if request is None or not request.attempts:
             return None
-        last = flow.schedulings[-1]
-        # Guards against a late word on an old scheduling: it must not end the present one.
+        last = request.attempts[-1]
+        # Guards against a late word on an old attempt: it must not end the present one.
         return last if last.name == name and last.life is not Life.ENDED else None
 
-    def met(self, scheduling: Scheduling, name: str) -> bool:
-        """Whether an earlier scheduling of its flow went to a real server of that name: which of the two a
+    def met(self, attempt: Attempt, name: str) -> bool:
+        """Whether an earlier attempt of its request went to a real server of that name: which of the two a
         word is about could not be told."""
-        flow = self._table.get(scheduling.flow)
-        return flow is not None and any(s.name == name for s in flow.schedulings if s is not scheduling)
+        request = self._table.get(attempt.request)
+        return request is not None and any(s.name == name for s in request.attempts if s is not attempt)
 
     def word(
         self,
-        scheduling: Scheduling,
+        attempt: Attempt,
         word: Word,
         report: api.Report | None = None,
         result: bytes | None = None,
     ) -> bool:
-        """Takes in what is heard of a scheduling; False if it proves nothing and was passed over."""
-        step = TABLE[scheduling.life].get(word)
+        """Takes in what is heard of an attempt; False if it proves nothing and was passed over."""
+        step = TABLE[attempt.life].get(word)
         if step is None:
             return False
         if step.life is not Life.ENDED:
-            scheduling.life = step.life
-            if scheduling.unsent is not None:
-                self._deadlines.drop(scheduling.unsent)
+            attempt.life = step.life
+            if attempt.unsent is not None:
+                self._deadlines.drop(attempt.unsent)
         if step.give_up:
             self._counters.add("odd_words")
             # Guards against a second copy: nobody has said for sure that the job does not run.
-            self.carrier.give_up(scheduling).addBoth(lambda _: self.ended(scheduling, step.outcome, report))
+            self.carrier.give_up(attempt).addBoth(lambda _: self.ended(attempt, step.outcome, report))
         elif step.outcome:
-            self.ended(scheduling, step.outcome, report, result)
+            self.ended(attempt, step.outcome, report, result)
         return True
 
-    def noted(self, scheduling: Scheduling, what: int, amount: float) -> None:
-        if scheduling.life is not Life.ENDED:
-            self._met(scheduling.server, api.OK)
-            flow = self._table.get(scheduling.flow)
-            if self._tally is not None and flow is not None and what == api.STARTED:
-                self._tally.over(scheduling, flow.aim, self._deadlines.now())
+    def noted(self, attempt: Attempt, what: int, amount: float) -> None:
+        if attempt.life is not Life.ENDED:
+            self._met(attempt.server, api.OK)
+            request = self._table.get(attempt.request)
+            if self._tally is not None and request is not None and what == api.STARTED:
+                self._tally.over(attempt, request.aim, self._deadlines.now())
             self._tell(
-                lambda: self._balancer.note(
-                    self._deadlines.now(), scheduling.job, scheduling.number, what, amount
-                )
+                lambda: self._balancer.note(self._deadlines.now(), attempt.job, attempt.number, what, amount)
             )
 
-    def waits(self, scheduling: Scheduling) -> bool:
+    def waits(self, attempt: Attempt) -> bool:
         """Whether somebody still waits for what becomes of it: once it ends, another may follow."""
-        flow = self._table.get(scheduling.flow)
-        return flow is not None and flow.asker is not None and not scheduling.ended
+        request = self._table.get(attempt.request)
+        return request is not None and request.client is not None and not attempt.ended
 
     def ended(
         self,
-        scheduling: Scheduling,
+        attempt: Attempt,
         outcome: str,
         report: api.Report | None = None,
         result: bytes | None = None,
     ) -> None:
-        """The one outcome of a scheduling; a second one is passed over."""
-        if scheduling.life is Life.ENDED:
+        """The one outcome of an attempt; a second one is passed over."""
+        if attempt.life is Life.ENDED:
             return
-        scheduling.life = Life.ENDED
-        self._deadlines.drop(scheduling.late)
-        if scheduling.unsent is not None:
-            self._deadlines.drop(scheduling.unsent)
-        if scheduling.ticket is not None:
+        attempt.life = Life.ENDED
+        self._deadlines.drop(attempt.late)
+        if attempt.unsent is not None:
+            self._deadlines.drop(attempt.unsent)
+        if attempt.ticket is not None:
             # Ended by a callback that overtook its 202.  Guards against a real server that dies before the
             # 202 comes through, without a word: the connection would wait for good.
-            self._deadlines.after(self._limits.give_up, scheduling.ticket.cancel)
+            self._deadlines.after(self._limits.give_up, attempt.ticket.cancel)
         self._counters.add("outcome_" + outcome)
-        self._met(scheduling.server, outcome)
-        flow = self._table.get(scheduling.flow)
-        if flow is None:
+        self._met(attempt.server, outcome)
+        request = self._table.get(attempt.request)
+        if request is None:
             return
-        flow.late = outcome == api.TIMEOUT
+        request.late = outcome == api.TIMEOUT
         if self._tally is not None:
-            self._tally.over(scheduling, flow.aim, self._deadlines.now())
+            self._tally.over(attempt, request.aim, self._deadlines.now())
         if outcome != api.OK:
             self._counters.event(
                 "scheduling ended badly",
-                flow=scheduling.job,
-                scheduling=scheduling.number,
-                server=scheduling.name,
+                flow=attempt.job,
+                scheduling=attempt.number,
+                server=attempt.name,
                 outcome=outcome,
-                after_us=self._deadlines.now() - scheduling.sent,
+                after_us=self._deadlines.now() - attempt.sent,
             )
-        if outcome == api.OK and flow.asker is not None:
-            asker, flow.asker = flow.asker, None
+        if outcome == api.OK and request.client is not None:
+            client, request.client = request.client, None
             self._counters.add("answered_served")
-            asker.served(result or b"")
-        over = flow.asker is None
+            client.served(result or b"")
+        over = request.client is None
         now = self._deadlines.now()
         self._tell(
             lambda: self._balancer.answer(
-                now, scheduling.job, scheduling.number, outcome, now - scheduling.sent, over, report
+                now, attempt.job, attempt.number, outcome, now - attempt.sent, over, report
             )
         )
-        self._tidy(flow)
+        self._tidy(request)
 
     def _overdue(self, number: int) -> None:
-        flow = self._table.get(number)
-        if flow is None or flow.asker is None:
+        request = self._table.get(number)
+        if request is None or request.client is None:
             return
         self._counters.add("overdue")
-        job = flow.job
+        job = request.job
         self._counters.event("flow overdue", "warning", flow=job)
-        self._fail(flow, Failure.LATE)
+        self._fail(request, Failure.LATE)
         self._tell(lambda: self._balancer.gone(self._deadlines.now(), job))
 
-    def _expired(self, scheduling: Scheduling) -> None:
-        """Time ran out on a scheduling."""
-        flow = self._table.get(scheduling.flow)
-        if scheduling.ended or flow is None:
+    def _expired(self, attempt: Attempt) -> None:
+        """Time ran out on an attempt."""
+        request = self._table.get(attempt.request)
+        if attempt.ended or request is None:
             return
-        told = self.carrier.give_up(scheduling)
-        if self._deadlines.now() >= flow.deadline:
-            self.ended(scheduling, api.TIMEOUT)
+        told = self.carrier.give_up(attempt)
+        if self._deadlines.now() >= request.deadline:
+            self.ended(attempt, api.TIMEOUT)
         else:
-            # Another scheduling may follow: it must not leave before the old one's end is out.
-            told.addBoth(lambda _: self.ended(scheduling, api.TIMEOUT))
+            # Another attempt may follow: it must not leave before the old one's end is out.
+            told.addBoth(lambda _: self.ended(attempt, api.TIMEOUT))
 
-    def _too_late(self, scheduling: Scheduling) -> None:
+    def _too_late(self, attempt: Attempt) -> None:
         """Its last byte has not left by the time that is allowed: it never will."""
-        if scheduling.life is Life.UNSENT:
+        if attempt.life is Life.UNSENT:
             self._counters.add("left_unsent")
-            self.carrier.give_up(scheduling)
-            self.ended(scheduling, api.MOOT)
+            self.carrier.give_up(attempt)
+            self.ended(attempt, api.MOOT)
 
-    def _fail(self, flow: Flow, why: Failure) -> None:
-        if flow.asker is not None:
-            asker, flow.asker = flow.asker, None
+    def _fail(self, request: Request, why: Failure) -> None:
+        if request.client is not None:
+            client, request.client = request.client, None
             self._counters.add("answered_failed")
-            asker.failed(why)
-        self._tidy(flow)
+            client.failed(why)
+        self._tidy(request)
 
-    def _tidy(self, flow: Flow) -> None:
-        """A flow's slot is free once its answer is given and no scheduling is out."""
+    def _tidy(self, request: Request) -> None:
+        """A request's slot is free once its answer is given and no attempt is out."""
         if (
-            flow.asker is None
-            and all(s.life is Life.ENDED for s in flow.schedulings)
-            and self._table.get(flow.number)
+            request.client is None
+            and all(s.life is Life.ENDED for s in request.attempts)
+            and self._table.get(request.number)
         ):
-            self._deadlines.drop(flow.guard)
-            self._table.free(flow.number)
-            del self._by_job[flow.job]
-            self._over[flow.job] = None
+            self._deadlines.drop(request.guard)
+            self._table.free(request.number)
+            del self._by_job[request.job]
+            self._over[request.job] = None
             while len(self._over) > self._limits.remembered:
                 self._over.popitem(last=False)
             if self.on_id is not None:
-                self.on_id(flow.job, True)
+                self.on_id(request.job, True)
             if not len(self._table) and self.when_idle is not None:
                 self.when_idle()
 
     # The module's actions.
 
     def send(self, job: str, worker: int, until: int, by: int = 0) -> None:
-        flow = self._table.get(self._by_job.get(job, -1))
-        if flow is None:
+        request = self._table.get(self._by_job.get(job, -1))
+        if request is None:
             return
-        if flow.asker is not None and flow.asker.left():
+        if request.client is not None and request.client.left():
             # Guards against one that has closed while we were busy: its end is still to be read.
-            self.leave(flow.number)
+            self.leave(request.number)
         now = self._deadlines.now()
-        until = min(until, flow.deadline) if until else flow.deadline
-        scheduling = Scheduling(flow.number, job, len(flow.schedulings), worker, now, flow.effect)
-        flow.schedulings.append(scheduling)
+        until = min(until, request.deadline) if until else request.deadline
+        attempt = Attempt(request.number, job, len(request.attempts), worker, now, request.effect)
+        request.attempts.append(attempt)
         if (
-            flow.asker is None
+            request.client is None
             or now >= until
             or 0 < by <= now
-            or len(flow.schedulings) > self._told.most_attempts
+            or len(request.attempts) > self._told.most_attempts
         ):
-            self.ended(scheduling, api.MOOT)
+            self.ended(attempt, api.MOOT)
             return
-        scheduling.late = self._deadlines.add(until, lambda: self._expired(scheduling))
+        attempt.late = self._deadlines.add(until, lambda: self._expired(attempt))
         if 0 < by < until:
             # Guards against a repeat that a slow connection brings when its group has forgotten the first.
-            scheduling.unsent = self._deadlines.add(by, lambda: self._too_late(scheduling))
-        self._counters.add("schedulings")
+            attempt.unsent = self._deadlines.add(by, lambda: self._too_late(attempt))
+        self._counters.add("attempts")
         if self._tally is not None:
-            self._tally.sent(scheduling)
-        self.carrier.carry(scheduling, flow.order, until)
+            self._tally.sent(attempt)
+        self.carrier.carry(attempt, request.order, until)
 
     def refuse(self, job: str, retry_after: int) -> None:
-        flow = self._table.get(self._by_job.get(job, -1))
-        if flow is not None and flow.asker is not None:
-            asker, flow.asker = flow.asker, None
+        request = self._table.get(self._by_job.get(job, -1))
+        if request is not None and request.client is not None:
+            client, request.client = request.client, None
             self._counters.add("answered_turned_down")
-            asker.turned_down(retry_after, not flow.schedulings)
-            self._tidy(flow)
+            client.turned_down(retry_after, not request.attempts)
+            self._tidy(request)
 
     def fail(self, job: str) -> None:
-        flow = self._table.get(self._by_job.get(job, -1))
-        if flow is not None:
-            self._fail(flow, Failure.LATE if flow.late else Failure.BROKEN)
+        request = self._table.get(self._by_job.get(job, -1))
+        if request is not None:
+            self._fail(request, Failure.LATE if request.late else Failure.BROKEN)
 
     def cancel(self, job: str, attempt: int) -> None:
-        flow = self._table.get(self._by_job.get(job, -1))
-        if flow is None or attempt >= len(flow.schedulings) or flow.schedulings[attempt].ended:
+        request = self._table.get(self._by_job.get(job, -1))
+        if request is None or attempt >= len(request.attempts) or request.attempts[attempt].ended:
             return
-        scheduling = flow.schedulings[attempt]
-        self.carrier.give_up(scheduling).addBoth(lambda _: self.ended(scheduling, api.CANCELLED))
+        chosen = request.attempts[attempt]
+        self.carrier.give_up(chosen).addBoth(lambda _: self.ended(chosen, api.CANCELLED))
 
     def probe(self, worker: int) -> None:
         self._counters.add("probes")
--- a/violetsaddle/net/servers.py
+++ b/violetsaddle/net/servers.py
@@ -1,4 +1,4 @@
-"""Connections to real servers: schedulings, probes and the DELETE that ends a scheduling early."""
+"""Connections to real servers: attempts, probes and the DELETE that ends an attempt early."""
 
 from __future__ import annotations
 
@@ -20,8 +20,8 @@
 from violetsaddle.net import http
 from violetsaddle.net.counters import Counters
 from violetsaddle.net.deadlines import Deadline, Deadlines, Patience, Reactor, Transport, nothing
-from violetsaddle.net.flows import Flows, Order, Scheduling
 from violetsaddle.net.limits import SPARE_DESCRIPTORS, Limits
+from violetsaddle.net.requests import Attempt, Order, Requests
 from violetsaddle.net.slots import SlotTable
 
 CLEAN = (200, 202, 204, 404)
@@ -248,7 +248,7 @@
 
 
 class Servers:
-    """All real servers known; implements `flows.Carrier`."""
+    """All real servers known; implements `requests.Carrier`."""
 
     def __init__(
         self,
@@ -256,12 +256,12 @@
         limits: Limits,
         deadlines: Deadlines,
         counters: Counters,
-        flows: Flows,
+        requests: Requests,
         told: api.Settings,
         fields: Mapping[str, str],
     ) -> None:
         self._reactor, self._limits, self._deadlines = reactor, limits, deadlines
-        self._counters, self._flows, self._fields = counters, flows, fields
+        self._counters, self._requests, self._fields = counters, requests, fields
         self._by_name: dict[str, RealServer] = {}
         self._by_number: dict[int, RealServer] = {}
         self._connections: SlotTable[ServerConnection] = SlotTable()
@@ -498,74 +498,72 @@
         if not isinstance(reason.value, (CancelledError, NotConnected, Broken, Withheld)):
             self._counters.fault("work for a real server failed", reason.value)
 
-    # What the flows ask for.
+    # What the requests ask for.
 
-    def carry(self, scheduling: Scheduling, order: Order, until: int) -> None:
-        server = self._by_number.get(scheduling.server)
+    def carry(self, attempt: Attempt, order: Order, until: int) -> None:
+        server = self._by_number.get(attempt.server)
         if server is None:
-            self._flows.word(scheduling, Word.UNREACHED)
+            self._requests.word(attempt, Word.UNREACHED)
             return
-        if scheduling.number and self._flows.met(scheduling, server.name):
-            self._flows.ended(scheduling, api.MOOT)
+        if attempt.number and self._requests.met(attempt, server.name):
+            self._requests.ended(attempt, api.MOOT)
             return
-        scheduling.name, scheduling.real = server.name, server
+        attempt.name, attempt.real = server.name, server
 
         def written() -> None:
-            self._flows.word(scheduling, Word.WRITTEN)
+            self._requests.word(attempt, Word.WRITTEN)
 
-        ticket = scheduling.ticket = self._exchange(
+        ticket = attempt.ticket = self._exchange(
             server,
-            partial(self._message, scheduling, server, order, until),
+            partial(self._message, attempt, server, order, until),
             written,
-            fresh=scheduling.effect == api.UNSAFE or self._deadlines.now() < self._doubt_until,
+            fresh=attempt.effect == api.UNSAFE or self._deadlines.now() < self._doubt_until,
             clean=(202,),
-            sure=scheduling.effect != api.SAFE,
+            sure=attempt.effect != api.SAFE,
         )
-        ticket.addCallbacks(self._answered, self._not_carried, (scheduling,), errbackArgs=(scheduling,))
+        ticket.addCallbacks(self._answered, self._not_carried, (attempt,), errbackArgs=(attempt,))
         ticket.addErrback(self._failed)
 
-    def _message(
-        self, scheduling: Scheduling, server: RealServer, order: Order, until: int
-    ) -> Sequence[bytes]:
+    def _message(self, attempt: Attempt, server: RealServer, order: Order, until: int) -> Sequence[bytes]:
         """What is to be sent; raises `Withheld`.  Asked as the first byte is to leave: a list, or the end of
         the client, may have come during the dial."""
         now = self._deadlines.now()
         if (
             not server.listed
             or server.drains
-            or (now > scheduling.sent + self._limits.unseen and not self._flows.wanted(scheduling))
+            or (now > attempt.sent + self._limits.unseen and not self._requests.wanted(attempt))
         ):
             raise Withheld
         return order.message(server.address, until - now)
 
-    def _answered(self, answer: http.Message, scheduling: Scheduling) -> None:
-        scheduling.ticket = None
+    def _answered(self, answer: http.Message, attempt: Attempt) -> None:
+        attempt.ticket = None
         if answer.status == 202:
-            self._flows.word(scheduling, Word.ACCEPTED)
+            self._requests.word(attempt, Word.ACCEPTED)
             return
         word = answered(answer.status, answer.header("x-turned-away"))
         if word is Word.TURNED_AWAY and not (answer.sure and answer.delimited):
             # Guards against a late second answer to the request before, which says nothing of this one, and
             # against one that was cut where nothing tells its length.
             word = Word.ODD
-        self._flows.word(scheduling, word, self.report(answer.header("x-pressure")))
+        self._requests.word(attempt, word, self.report(answer.header("x-pressure")))
 
-    def _not_carried(self, reason: Reason, scheduling: Scheduling) -> Reason | None:
-        scheduling.ticket = None
+    def _not_carried(self, reason: Reason, attempt: Attempt) -> Reason | None:
+        attempt.ticket = None
         if isinstance(reason.value, (NotConnected, Withheld)):
-            self._flows.word(scheduling, Word.UNREACHED)
+            self._requests.word(attempt, Word.UNREACHED)
         elif isinstance(reason.value, Broken):
-            self._flows.word(scheduling, Word.CUT if reason.value.begun else Word.BROKE)
+            self._requests.word(attempt, Word.CUT if reason.value.begun else Word.BROKE)
         else:
             return reason
         return None
 
-    def give_up(self, scheduling: Scheduling) -> Deferred[None]:
-        ticket, scheduling.ticket = scheduling.ticket, None
+    def give_up(self, attempt: Attempt) -> Deferred[None]:
+        ticket, attempt.ticket = attempt.ticket, None
         if ticket is not None:
             ticket.cancel()  # no answer has come: the end of the connection gives the job up
-        server = scheduling.real
-        if not isinstance(server, RealServer) or not self._may_cancel or scheduling.life is Life.UNSENT:
+        server = attempt.real
+        if not isinstance(server, RealServer) or not self._may_cancel or attempt.life is Life.UNSENT:
             return succeed(None)
         # Also before a 202: one that has crossed the closing would leave the job running.
         out: Deferred[None] = Deferred()
@@ -575,20 +573,18 @@
                 out.callback(None)
 
         self._counters.add("deletes")
-        self._delete(server, scheduling, told)
+        self._delete(server, attempt, told)
         return out
 
-    def _delete(
-        self, server: RealServer, scheduling: Scheduling, told: Callable[[], None], tries: int = 1
-    ) -> None:
+    def _delete(self, server: RealServer, attempt: Attempt, told: Callable[[], None], tries: int = 1) -> None:
         """`told` is called once the real server has been told, or its word is no longer needed."""
         # Guards against a DELETE that is dropped unread with the connection it went out on, and against one
-        # that the next scheduling overtakes, as a new connection or a busy real server takes its time: it
+        # that the next attempt overtakes, as a new connection or a busy real server takes its time: it
         # counts as told once it is answered, and goes out again on new connections.
         connection = None if tries > 1 else self._idle(server)
 
         def message() -> Sequence[bytes]:
-            return [http.request("DELETE", f"/jobs/{scheduling.job}", server.address)]
+            return [http.request("DELETE", f"/jobs/{attempt.job}", server.address)]
 
         if connection is not None:
             deleting = self._on(connection, message)
@@ -605,12 +601,12 @@
                 # Guards against a second copy: one that took the job still has it, though it has no room for
                 # a connection now or says nothing.  Until it is told, or tells, nothing else may be sent; its
                 # time runs out at the latest.
-                holds = scheduling.held and self._flows.waits(scheduling)
+                holds = attempt.held and self._requests.waits(attempt)
                 lost = isinstance(result.value, (Broken, NotConnected)) and tries < self._limits.delete_tries
                 if server.port and (lost or holds):
                     self._counters.add("deletes_again")
                     pause = self._limits.delete_pause * min(tries - 1, self._limits.delete_tries) + 1
-                    self._deadlines.after(pause, lambda: self._delete(server, scheduling, told, tries + 1))
+                    self._deadlines.after(pause, lambda: self._delete(server, attempt, told, tries + 1))
                     return
             told()
 
@@ -619,7 +615,7 @@
     def probe(self, server: int) -> None:
         real = self._by_number.get(server)
         if real is None:
-            self._flows.probed(server, False, None)
+            self._requests.probed(server, False, None)
             return
         host = real.address
         probing = self._exchange(real, lambda: [http.request("GET", self._probe_path, host)])
@@ -628,12 +624,12 @@
         def told(answer: http.Message) -> None:
             ok = answer.status == 200
             text = bytes(answer.body).decode("utf-8", "replace")
-            self._flows.probed(server, ok, self.report(text) if ok else None)
+            self._requests.probed(server, ok, self.report(text) if ok else None)
 
         def silent(reason: Reason) -> None:
             self._failed(reason)
             self._counters.event("probe failed", "debug", server=real.name)
-            self._flows.probed(server, False, None)
+            self._requests.probed(server, False, None)
 
         probing.addBoth(self._passed, late).addCallbacks(told, silent).addErrback(self._failed)
 
--- a/violetsaddle/net/tally.py
+++ b/violetsaddle/net/tally.py
@@ -1,6 +1,6 @@
 """Counts what the fleet's losses are made of: late starts by cause, and what cold real servers are sent.
 
-A scheduling is late if it has not started within the module's patience with its class.  The cause is what the
+An attempt is late if it has not started within the module's patience with its class.  The cause is what the
 module could see as it chose: nothing here changes a decision."""
 
 from __future__ import annotations
@@ -12,7 +12,7 @@
 
 
 class Begun(Protocol):
-    """Of a scheduling: its real server, when it was sent (microseconds), and what is kept here about it."""
+    """Of an attempt: its real server, when it was sent (microseconds), and what is kept here about it."""
 
     server: int
     sent: int
@@ -23,29 +23,29 @@
     def __init__(self, view: Balancer, counters: Counters) -> None:
         self._view, self._counters = view, counters
 
-    def sent(self, scheduling: Begun) -> None:
-        """Called as the module sends it: its own books have the scheduling already."""
+    def sent(self, attempt: Begun) -> None:
+        """Called as the module sends it: its own books have the attempt already."""
         view = self._view
-        worker = view.workers.get(scheduling.server)
+        worker = view.workers.get(attempt.server)
         if worker is None:
-            scheduling.doubt = "stale"
+            attempt.doubt = "stale"
             return
-        if worker.cold_until > scheduling.sent:
-            scheduling.doubt = "cold"
+        if worker.cold_until > attempt.sent:
+            attempt.doubt = "cold"
             self._counters.add("sent_cold")
             if worker.cold.tokens < 0.0:
                 self._counters.add("sent_cold_over")
         elif not worker.near:
-            scheduling.doubt = "blind"
+            attempt.doubt = "blind"
         elif view.crowd > CROWD_TIGHT and view.fleet.most_free:  # without sizes it says nothing
-            scheduling.doubt = "crowded"
+            attempt.doubt = "crowded"
         elif worker.zone != view.told.zone:
-            scheduling.doubt = "abroad"
+            attempt.doubt = "abroad"
         else:
-            scheduling.doubt = "stale"
+            attempt.doubt = "stale"
 
-    def over(self, scheduling: Begun, aim: int, now: int) -> None:
+    def over(self, attempt: Begun, aim: int, now: int) -> None:
         """It has started, or ended without; the first call counts.  `aim`: its class's, microseconds."""
-        if scheduling.doubt and now - scheduling.sent > PATIENCE * aim:
-            self._counters.add("late_" + scheduling.doubt)
-        scheduling.doubt = ""
+        if attempt.doubt and now - attempt.sent > PATIENCE * aim:
+            self._counters.add("late_" + attempt.doubt)
+        attempt.doubt = ""
--- a/violetsaddle/net/upgrade.py
+++ b/violetsaddle/net/upgrade.py
@@ -88,19 +88,19 @@
 
 
 class Took(Struct, tag=True, array_like=True):
-    """A flow was taken in."""
+    """A request was taken in."""
 
     id: str
 
 
 class Over(Struct, tag=True, array_like=True):
-    """A flow has ended."""
+    """A request has ended."""
 
     id: str
 
 
 class Call(Struct, tag=True, array_like=True):
-    """A callback on a flow that is not open where it came."""
+    """A callback on a request that is not open where it came."""
 
     number: int
     body: bytes
@@ -309,7 +309,7 @@
         """`pair`: what this process inherited, if it is a successor."""
         self._reactor, self._node, self._config, self._told = reactor, node, config, told
         self._pair, self._step = pair, step
-        self._counters, self._deadlines, self._flows = node.counters, node.deadlines, node.flows
+        self._counters, self._deadlines, self._requests = node.counters, node.deadlines, node.requests
         self._life = decide.new() if pair is not None else decide.old()
         self._link: Link | None = None
         self._child: Child | None = None
@@ -318,7 +318,7 @@
         self._busy = False
         self._why = ""  # the last upgrade failed
         self._message: Any = None  # that is being taken in
-        self._ended_since: list[str] = []  # ids of flows that were over after the others were handed over
+        self._ended_since: list[str] = []  # ids of requests that were over after the others were handed over
         self._calls: dict[int, tuple[bytes, Callable[[int], None], Deadline]] = {}  # passed on, unanswered
         self._called = 0
         self._listing = Listing()
@@ -468,14 +468,14 @@
             self._message = None
         elif isinstance(message, Ids):
             if message.open:
-                self._flows.elsewhere.update(message.ids)
+                self._requests.elsewhere.update(message.ids)
             else:
-                self._flows.remember(message.ids)
+                self._requests.remember(message.ids)
         elif isinstance(message, Took):
-            self._flows.elsewhere.add(message.id)
+            self._requests.elsewhere.add(message.id)
         elif isinstance(message, Over):
-            self._flows.elsewhere.discard(message.id)
-            self._flows.remember([message.id])
+            self._requests.elsewhere.discard(message.id)
+            self._requests.remember([message.id])
             self._node.settle()
         elif isinstance(message, Call):
             self._take_call(message)
@@ -492,20 +492,20 @@
             self._link = None
 
     def _both(self) -> None:
-        """From now on each side tells the other of its flows, and passes on callbacks on others."""
-        self._flows.on_id = self._on_id
+        """From now on each side tells the other of its requests, and passes on callbacks on others."""
+        self._requests.on_id = self._on_id
         self._node.edge.pass_on = self._pass_on
 
     def _on_id(self, job: str, over: bool) -> None:
         self._say(Over(job) if over else Took(job))
 
     def _alone(self) -> None:
-        """The other side has gone; nothing of its flows is open any more."""
-        self._flows.on_id = self._node.edge.pass_on = None
-        self._flows.remember(sorted(self._flows.elsewhere))
-        self._flows.elsewhere.clear()
+        """The other side has gone; nothing of its requests is open any more."""
+        self._requests.on_id = self._node.edge.pass_on = None
+        self._requests.remember(sorted(self._requests.elsewhere))
+        self._requests.elsewhere.clear()
         for number, (body, _, _) in list(self._calls.items()):
-            # As if it had come now: nobody has that flow.
+            # As if it had come now: nobody has that request.
             self._answered(number, 204)
             take_call(self._node.edge.shared, called(body))
 
@@ -583,8 +583,8 @@
             return
         self._step("state said")
         self._ended_since = []
-        self._flows.on_id = self._note_id
-        self._say_ids(self._flows.ids(), False)
+        self._requests.on_id = self._note_id
+        self._say_ids(self._requests.ids(), False)
         self._say(Whole())
 
     def _note_id(self, job: str, over: bool) -> None:
@@ -600,7 +600,7 @@
 
     def _go(self) -> None:
         self._say_ids(self._ended_since[-self._node.limits.remembered :], False)
-        self._say_ids(self._flows.open_ids(), True)
+        self._say_ids(self._requests.open_ids(), True)
         self._ended_since = []
         self._both()
         self._say(Go())
@@ -651,9 +651,9 @@
         self._node.stop()
 
     def _finish(self) -> None:
-        if len(self._flows):
+        if len(self._requests):
             drained = f"drained for {self._told.drain / SECOND:g} s"
-            self._counters.say(f"{drained}, {len(self._flows)} flows are cut")
+            self._counters.say(f"{drained}, {len(self._requests)} flows are cut")
         else:
             self._counters.say("drained")
         self._node.finish()
@@ -690,7 +690,7 @@
 
     def _serves(self) -> None:
         self._both()
-        self._node.guest = lambda: bool(self._flows.elsewhere)
+        self._node.guest = lambda: bool(self._requests.elsewhere)
         self._write_pid()  # first: the old process takes the file away if it ends and is still named there
         self._say(Serves())
         if self._link is not None:
