--- a/violetsaddle/cli/main.py
+++ b/violetsaddle/cli/main.py
@@ -12,6 +12,7 @@
     "serve": "Run one node in this process.",
     "upgrade": "Replace a running node without loss.",
     "check": "Check operator files and node configurations.",
+    "control": "Run one replica of the configuration.",
     "demo": "Show a node at work on an emulated fleet.",
     "lab": "Run experiments: days of load and trouble, judged.",
 }
