--- a/violetsaddle/cli/main.py
+++ b/violetsaddle/cli/main.py
@@ -13,6 +13,7 @@
     "upgrade": "Replace a running node without loss.",
     "check": "Check operator files and node configurations.",
     "control": "Run one replica of the configuration.",
+    "config": "Write and show the configuration of all nodes.",
     "demo": "Show a node at work on an emulated fleet.",
     "lab": "Run experiments: days of load and trouble, judged.",
 }
