--- a/tests/test_snapshots.py
+++ b/tests/test_snapshots.py
@@ -23,21 +23,22 @@
 from violetsaddle.net.warmth import Warmth
 from violetsaddle.operator import Restart
 from violetsaddle.store import snapshots
-from violetsaddle.store.snapshots import Damaged, decode, digest, encode, read, write
+from violetsaddle.store.files import Damaged, read, write
+from violetsaddle.store.snapshots import decode, digest, encode
 
 UNDER = digest({"a": frozenset("xyz")})
 SMALL = Memory(5, 6, {"pace": 0.5}, {0: 2.0}, {1: 0.5}, [Bucket(None, 1.0)], 1.0, {"s": Box(0)}, ["id"])
 LIMITS = '[limits]\nlinger_ms = 10\nkeep_asking_ms = 20\nkeep_idle_ms = 30\n[restart]\nsnapshot = "{}"\n'
 WRITER = """
 import os, sys
-from violetsaddle.store import snapshots
+from violetsaddle.store import files
 left = int(sys.argv[2])
 def step(name):
     global left
     left -= 1
     if left < 0:
         os.kill(os.getpid(), 9)
-snapshots.write(sys.argv[1], b"new" * 9, step)
+files.write(sys.argv[1], b"new" * 9, step)
 """
 
 
--- a/violetsaddle/net/warmth.py
+++ b/violetsaddle/net/warmth.py
@@ -6,71 +6,22 @@
 from __future__ import annotations
 
 from collections.abc import Callable
-from threading import Thread
-from typing import Protocol, TypeAlias
 
 from violetsaddle import interface as api
 from violetsaddle.decide import memory, warmth
 from violetsaddle.decide.memory import Believed, Memory
-from violetsaddle.net.deadlines import Reactor
 from violetsaddle.net.discovery import BadList
+from violetsaddle.net.disk import Disk, Elsewhere, File, in_thread
 from violetsaddle.net.limits import SECOND
 from violetsaddle.net.node import Node
 from violetsaddle.net.peers import Peers
 from violetsaddle.operator import Restart
 from violetsaddle.store import snapshots
-from violetsaddle.store.snapshots import Damaged, Step, no_step
+from violetsaddle.store.files import Damaged
 
 YOUNG = 2 * SECOND  # with a snapshot no older than this, peers are not asked
 
 
-class Disk(Protocol):
-    """Where a snapshot lies."""
-
-    def read(self) -> bytes | None:
-        """None: there is none.  Raises `Damaged`."""
-
-    def write(self, data: bytes) -> None:
-        """Replaces it as a whole; raises `OSError`.  May take long: never called on the reactor's way."""
-
-
-class File:
-    """`Disk`: a file."""
-
-    def __init__(self, path: str, step: Step = no_step) -> None:
-        self._path, self._step = path, step
-
-    def read(self) -> bytes | None:
-        return snapshots.read(self._path)
-
-    def write(self, data: bytes) -> None:
-        snapshots.write(self._path, data, self._step)
-
-
-# Does the first beside the reactor's way, then calls the second on it, with what the first raised.
-Elsewhere: TypeAlias = Callable[[Callable[[], object], Callable[[Exception | None], None]], None]
-
-
-def in_thread(reactor: Reactor) -> Elsewhere:
-    """A thread for each piece of work: one that a disk holds for good holds up no end of the program."""
-
-    def run(work: Callable[[], object], done: Callable[[Exception | None], None]) -> None:
-        def there() -> None:
-            failed = None
-            try:
-                work()
-            except Exception as error:
-                failed = error
-            reactor.callFromThread(done, failed)
-
-        try:
-            Thread(target=there, daemon=True).start()
-        except RuntimeError as error:  # no more threads
-            reactor.callFromThread(done, error)
-
-    return run
-
-
 def keeper(told: Restart) -> Callable[[Node], Warmth]:
     """What `Node` makes its keeper with, for the section of an operator file."""
 
