Requests in net/ keep the settings under which they were taken: Requests.reconfigure

Tries and the permission to cancel were the node's, so that a change at work would have applied to attempts halfway: one taken while cancels were allowed is now given up by DELETE later too, one taken without is not.

--- a/tests/test_reconfigure.py
+++ b/tests/test_reconfigure.py
@@ -6,8 +6,14 @@
 from dataclasses import fields, replace
 from typing import Any
 
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
 from tests.helpers import CLASSES, MS, SECOND, Recorder, make, run_until
+from tests.test_repeats import DEADLINE, EVENTS, SPECS, Watched, advance, happen, job_of, told, up_and_written
+from tests.wired import Client, Job, Net, Wire
 from violetsaddle import Balancer, Entry, RequestClass, Settings, Tenant
+from violetsaddle import interface as api
 from violetsaddle.interface import CHANGEABLE, KEYED, UNSAFE, SettingsError
 from violetsaddle.policy import PATIENCE
 
@@ -261,3 +267,190 @@
         balancer.reconfigure(0, replace(balancer.told, classes=(RequestClass(200, 1000, stretch=2.0),)))
         balancer.request(0, "a", 0, 1000)
         self.assertEqual((balancer.requests["a"].spec.aim, balancer.requests["a"].spec.stretch), (200, 2.0))
+
+
+class Wired(unittest.TestCase):
+    """The node's network part, between a network and a clock that the test holds."""
+
+    def net(self, **changes: Any) -> Net:
+        net = Net(told(RequestClass(200 * MS, DEADLINE), RequestClass(200 * MS, DEADLINE, UNSAFE), **changes))
+        net.listed(api.DISK, **{f"s-{n}": (api.ACTIVE, 0, n) for n in range(1, 6)})
+        return net
+
+    def change(self, net: Net, **changes: Any) -> None:
+        net.requests.reconfigure(replace(net.requests._told, **changes))
+
+    def started(self, net: Net, job: str, cls: int = 0) -> tuple[Client, Wire]:
+        client = net.ask(job, cls, DEADLINE)
+        wire = up_and_written(net)
+        self.assertEqual(job_of(wire), job)
+        wire.answer("202")
+        net.call(job, f"s-{wire.at[1]}", "started")
+        return client, wire
+
+    def deletes(self, net: Net) -> list[Wire]:
+        return [wire for wire in net.live() if wire.message.startswith(b"DELETE")]
+
+    def test_a_delete_that_is_out_goes_on_after_the_permission_is_gone(self) -> None:
+        net = self.net()
+        _, wire = self.started(net, "a")
+        _, other = self.started(net, "b")
+        for job in ("a", "b"):
+            net.requests.leave(net.requests._by_job[job])
+        wire.flush()
+        other.flush()
+        self.assertEqual(len(self.deletes(net)), 2)
+        self.change(net, may_cancel=False)
+        wire.lose()  # unread
+        advance(net, 5 * MS)
+        again = net.live()[-1]
+        again.up()
+        again.flush()
+        self.assertTrue(again.message.startswith(b"DELETE /jobs/a "), again.message)
+        self.assertEqual(net.counters.get("deletes_again"), 1)
+        again.answer("204")
+        other.answer("204")
+        self.assertEqual((net.counters.get("deletes"), len(net.requests)), (2, 0))
+
+    def test_an_attempt_is_given_up_as_was_allowed_when_its_request_was_taken(self) -> None:
+        for before in (True, False):
+            with self.subTest(before=before):
+                net = self.net(may_cancel=before)
+                _, old = self.started(net, "old")
+                self.change(net, may_cancel=not before)
+                _, new = self.started(net, "new")
+                for job, wire in (("old", old), ("new", new)):
+                    net.requests.leave(net.requests._by_job[job])
+                    wire.flush()
+                self.assertEqual(
+                    [w.message.split(b" ")[1] for w in self.deletes(net)],
+                    [b"/jobs/old" if before else b"/jobs/new"],
+                )
+                self.assertEqual(net.counters.get("deletes"), 1)
+
+    def test_a_later_attempt_of_an_old_request_goes_by_its_requests_permission(self) -> None:
+        net = self.net(may_cancel=True)
+        client, wire = self.started(net, "a")
+        self.change(net, may_cancel=False)
+        net.call("a", f"s-{wire.at[1]}", "lost")
+        second = up_and_written(net)
+        self.assertEqual(job_of(second), "a")
+        second.answer("202")
+        net.requests.leave(net.requests._by_job["a"])
+        second.flush()
+        self.assertTrue(second.message.startswith(b"DELETE /jobs/a "))
+        self.assertEqual(client.answers, [])
+
+    def test_time_that_runs_out_under_other_settings(self) -> None:
+        net = self.net(may_cancel=True)
+        client, wire = self.started(net, "a", 1)
+        self.change(net, may_cancel=False, most_attempts=1)
+        advance(net, DEADLINE + 50 * MS)
+        self.assertEqual(client.answers, ["failed"])
+        wire.flush()
+        self.assertTrue(wire.message.startswith(b"DELETE /jobs/a "))
+
+    def test_tries_lowered_and_raised_with_requests_in_flight(self) -> None:
+        for before, after in ((4, 1), (1, 4)):
+            with self.subTest(before=before, after=after):
+                net = self.net(most_attempts=before)
+                net.requests.consult(lambda balancer, _: setattr(balancer, "retries", 20.0))
+                old = net.ask("old", 0, DEADLINE)
+                self.change(net, most_attempts=after)
+                new = net.ask("new", 0, DEADLINE)
+                for _ in range(400):
+                    for wire in net.live():
+                        wire.fail()
+                    advance(net, 5 * MS)
+                self.assertEqual([old.answers, new.answers], [["turned down"]] * 2)
+                self.assertEqual(net.counters.get("attempts"), before + after)
+                self.assertEqual(net.faults, [])
+
+    def test_the_network_part_itself_keeps_to_the_requests_tries(self) -> None:
+        """Whatever the module asks for."""
+        net = self.net(most_attempts=2)
+        net.ask("a", 0, DEADLINE)
+        self.change(net, most_attempts=9)
+        for worker in (2, 3, 4):
+            net.requests.send("a", worker, 0)
+        self.assertEqual((net.counters.get("attempts"), net.counters.get("outcome_moot")), (2, 2))
+
+    def test_probes_switched_off_while_some_are_out(self) -> None:
+        net = self.net(may_probe=True, report_by_probe=True, report=frozenset({"free_slots"}))
+        net.ask("a", 0, DEADLINE)
+        out = net.counters.get("probes")
+        self.assertGreater(out, 0)
+        self.change(net, may_probe=False)
+        for n in range(10):
+            net.ask(f"b{n}", 0, DEADLINE)
+        for wire in net.live():
+            wire.up()
+            wire.flush()
+        for wire in net.live():
+            if wire.message.startswith(b"GET"):
+                wire.answer("204")
+        advance(net, SECOND)
+        self.assertEqual(net.counters.get("probes"), out)
+        self.assertEqual(net.counters.get("probes_failed") + net.counters.get("probes_ok"), out)
+        self.assertEqual(net.faults, [])
+
+    def test_what_is_fixed_is_refused_before_anything_has_changed(self) -> None:
+        net = self.net()
+        before = net.requests._told
+        with self.assertRaises(SettingsError):
+            self.change(net, most_attempts=1, connect_timeout=9)
+        self.assertIs(net.requests._told, before)
+        net.requests.consult(lambda balancer, _: self.assertIs(balancer.told, before))
+
+    def test_a_change_from_within_an_event_comes_after_those_before_it(self) -> None:
+        net = self.net(most_attempts=4)
+        seen: list[int] = []
+
+        def leaves() -> bool:
+            if not seen:
+                seen.append(1)
+                self.change(net, most_attempts=1)
+                net.ask("b", 0, DEADLINE)
+            return False
+
+        client = Client()
+        client.left = leaves  # type: ignore[method-assign]
+        net.requests.arrive("a", "0", None, DEADLINE, True, 1.0, None, 0, Job("a"), client)
+        tries = net.requests.consult(
+            lambda balancer, _: {job: r.told.most_attempts for job, r in balancer.requests.items()}
+        )
+        self.assertEqual(tries, {"a": 4, "b": 1})
+        self.assertEqual([net.requests._table.get(n).most_attempts for n in (0, 1)], [4, 1])  # type: ignore[union-attr]
+
+
+CHANGES = st.fixed_dictionaries(
+    {"may_cancel": st.booleans(), "most_attempts": st.integers(1, 6), "may_advise": st.booleans()}
+)
+
+
+@settings(max_examples=300, deadline=None, derandomize=True)
+@given(SPECS, st.booleans(), EVENTS, st.lists(st.tuples(st.integers(0, 40), CHANGES), min_size=1, max_size=6))
+def test_every_order_of_events_keeps_the_rules_while_settings_change(
+    spec: RequestClass, cancel: bool, events: list[tuple[str, int]], changes: list[tuple[int, dict[str, Any]]]
+) -> None:
+    net = Watched(spec, cancel)
+    net.zones = {f"s-{n}": n % 2 for n in range(1, 6)}
+    net.listed(api.DISK, **{name: (api.ACTIVE, zone, int(name[2:])) for name, zone in net.zones.items()})
+    asked: dict[str, Any] = {}
+    for n in range(2):
+        client = net.ask(f"j{n}", 0, DEADLINE)
+        asked[f"j{n}"] = client, net.requests._by_job.get(f"j{n}", -1)
+    for at, (what, which) in enumerate(events):
+        for place, change in changes:
+            if place == at:
+                net.requests.reconfigure(replace(net.requests._told, **change))
+        happen(net, what, which, asked)
+        for job, (client, _) in asked.items():
+            if client.answers == ["turned down"]:
+                assert net.may_refuse(job), f"{job} may have run and was refused"
+                client.answers.append("checked")
+            assert len(net.sent.get(job, [])) <= 4, "more tries than when it was taken"
+    advance(net, DEADLINE + SECOND)
+    for client, number in asked.values():
+        assert (number < 0 or client.answers) and len([a for a in client.answers if a != "checked"]) < 2
+    assert not net.faults
--- a/tests/test_tally.py
+++ b/tests/test_tally.py
@@ -14,7 +14,7 @@
 
 
 def attempt(server: int = 1, sent: int = SECOND) -> Attempt:
-    return Attempt(0, "a", 0, server, sent, "safe")
+    return Attempt(0, "a", 0, server, sent, "safe", True)
 
 
 @pytest.mark.parametrize("cause", ["stale", "crowded", "blind", "cold", "abroad"])
--- a/violetsaddle/net/requests.py
+++ b/violetsaddle/net/requests.py
@@ -71,12 +71,16 @@
         "ticket",
         "name",
         "effect",
+        "may_cancel",
         "real",
         "doubt",
     )
 
-    def __init__(self, request: int, job: str, number: int, server: int, sent: int, effect: str) -> None:
-        self.effect = effect  # of its request's class
+    def __init__(
+        self, request: int, job: str, number: int, server: int, sent: int, effect: str, may_cancel: bool
+    ) -> None:
+        """`effect` and `may_cancel` (whether a DELETE may give it up): of its request."""
+        self.effect, self.may_cancel = effect, may_cancel
         self.request, self.job, self.number, self.server, self.sent = request, job, number, server, sent
         self.life = Life.UNSENT
         self.late: Deadline | None = None
@@ -136,6 +140,9 @@
 
 
 class Request:
+    """A request, with what the settings under which it was taken say of it: it goes by these for its whole
+    life."""
+
     __slots__ = (
         "number",
         "job",
@@ -147,10 +154,15 @@
         "late",
         "effect",
         "aim",
+        "most_attempts",
+        "may_cancel",
     )
 
-    def __init__(self, job: str, order: Order, client: Client, deadline: int, spec: api.RequestClass) -> None:
-        self.effect, self.aim = spec.effect, spec.aim
+    def __init__(
+        self, job: str, order: Order, client: Client, deadline: int, told: api.Settings, cls: int
+    ) -> None:
+        self.effect, self.aim = told.classes[cls].effect, told.classes[cls].aim
+        self.most_attempts, self.may_cancel = told.most_attempts, told.may_cancel
         self.number, self.job, self.order, self.deadline = -1, job, order, deadline
         self.client: Client | None = client  # None: the final answer is given
         self.attempts: list[Attempt] = []
@@ -253,7 +265,7 @@
             remaining = max(1, min(remaining, self.last_word - now))
         # The module's time ends a little before the client's: the answer needs some to arrive.
         given = remaining - min(self._limits.answer_margin, remaining // 10)
-        request = Request(job, order, client, now + given, self._told.classes[index])
+        request = Request(job, order, client, now + given, self._told, index)
         number = request.number = self._table.put(request)
         self._by_job[job] = number
         if self.on_id is not None:
@@ -334,6 +346,13 @@
     def heard(self, peer: int, data: bytes) -> None:
         self._tell(lambda: self._balancer.heard(self._deadlines.now(), peer, data))
 
+    def reconfigure(self, told: api.Settings) -> None:
+        """Other settings for requests that come from now on; raises `SettingsError` and changes nothing where
+        they differ in what can't change at work."""
+        self._told.check_change(told)
+        self._told = told
+        self._tell(lambda: self._balancer.reconfigure(self._deadlines.now(), told))
+
     # What outlives the program.
 
     def consult(self, what: Callable[[Any, int], T]) -> T:
@@ -516,13 +535,15 @@
             self.leave(request.number)
         now = self._deadlines.now()
         until = min(until, request.deadline) if until else request.deadline
-        attempt = Attempt(request.number, job, len(request.attempts), worker, now, request.effect)
+        attempt = Attempt(
+            request.number, job, len(request.attempts), worker, now, request.effect, request.may_cancel
+        )
         request.attempts.append(attempt)
         if (
             request.client is None
             or now >= until
             or 0 < by <= now
-            or len(request.attempts) > self._told.most_attempts
+            or len(request.attempts) > request.most_attempts
         ):
             self.ended(attempt, api.MOOT)
             return
--- a/violetsaddle/net/servers.py
+++ b/violetsaddle/net/servers.py
@@ -267,7 +267,6 @@
         self._connections: SlotTable[ServerConnection] = SlotTable()
         self._dialling = 0
         self._doubt_until = 0
-        self._may_cancel = told.may_cancel
         self._probe_path = "/metrics/load" if told.report_by_probe else "/alive"
 
     @property
@@ -563,7 +562,7 @@
         if ticket is not None:
             ticket.cancel()  # no answer has come: the end of the connection gives the job up
         server = attempt.real
-        if not isinstance(server, RealServer) or not self._may_cancel or attempt.life is Life.UNSENT:
+        if not isinstance(server, RealServer) or not attempt.may_cancel or attempt.life is Life.UNSENT:
             return succeed(None)
         # Also before a 202: one that has crossed the closing would leave the job running.
         out: Deferred[None] = Deferred()
