--- a/tests/test_snapshots.py
+++ b/tests/test_snapshots.py
@@ -23,7 +23,7 @@
 from violetsaddle.net.warmth import Warmth
 from violetsaddle.operator import Restart
 from violetsaddle.store import snapshots
-from violetsaddle.store.files import Damaged, read, write
+from violetsaddle.store.files import DamagedError, read, write
 from violetsaddle.store.snapshots import decode, digest, encode
 
 UNDER = digest({"a": frozenset("xyz")})
@@ -64,16 +64,16 @@
                 data[:at] + bytes((data[at] ^ 1 << at % 8,)) + data[at + 1 :],
                 data[:at] + b"\0" + data[at:],
             ):
-                with self.assertRaises(Damaged) as caught:
+                with self.assertRaises(DamagedError) as caught:
                     decode(bad, UNDER)
                 self.assertTrue(str(caught.exception).isprintable())
-        self.assertRaisesRegex(Damaged, "other settings", decode, data, digest("other"))
+        self.assertRaisesRegex(DamagedError, "other settings", decode, data, digest("other"))
         with mock.patch.object(snapshots, "VERSION", 2):
             later = encode(SMALL, UNDER)
-        self.assertRaisesRegex(Damaged, "version 2", decode, later, UNDER)
+        self.assertRaisesRegex(DamagedError, "version 2", decode, later, UNDER)
         strange = snapshots.HEAD.pack(snapshots.MAGIC, 1, 1, UNDER) + b"\xc0"
         strange += blake2b(strange, digest_size=16).digest()
-        self.assertRaisesRegex(Damaged, "body", decode, strange, UNDER)
+        self.assertRaisesRegex(DamagedError, "body", decode, strange, UNDER)
 
     def test_what_does_not_fit_is_left_out(self) -> None:
         ids = [f"id-{n}" for n in range(2000)]
@@ -127,7 +127,7 @@
             self.assertEqual(read(folder + "/pipe"), b"")
             Path(folder, "long").write_bytes(b"x" * 11)
             for path in (folder, folder + "/long", folder + "/\0"):
-                self.assertRaises(Damaged, read, path, 10)
+                self.assertRaises(DamagedError, read, path, 10)
 
 
 class Slow:
--- a/violetsaddle/__main__.py
+++ b/violetsaddle/__main__.py
@@ -31,7 +31,7 @@
 
 from violetsaddle import settings
 from violetsaddle.interface import SettingsError
-from violetsaddle.net.discovery import BadList, address
+from violetsaddle.net.discovery import BadListError, address
 from violetsaddle.net.early import SUCCESSOR
 from violetsaddle.net.limits import Limits
 from violetsaddle.net.node import Config, ConfigError, Keeper, Node, Upgrades, run, unchanged
@@ -46,7 +46,7 @@
     """An address from the environment, if it tells one, or the configuration."""
     try:
         return address(told or table.get(key), least)
-    except BadList as error:
+    except BadListError as error:
         raise ConfigError(f"{key}: {error}") from None
 
 
@@ -166,7 +166,7 @@
         return 2
     try:
         return run(config, reread, adjust, log, keeping(told), listener, upgrades, told_early)
-    except BadList as error:
+    except BadListError as error:
         print(f"violetsaddle: known: {error}".replace("\n", " "), file=sys.stderr)
         return 2
     finally:
--- a/violetsaddle/cli/check.py
+++ b/violetsaddle/cli/check.py
@@ -30,7 +30,7 @@
     from violetsaddle import interface as api
     from violetsaddle.__main__ import read
     from violetsaddle.interface import SettingsError
-    from violetsaddle.net.discovery import BadList
+    from violetsaddle.net.discovery import BadListError
     from violetsaddle.net.node import ConfigError, Node
 
     try:
@@ -40,7 +40,7 @@
         node = Node(reactor(), config, lambda: config)  # the known list is only read by a whole node
         if config.known:
             node.discovery.take(config.known, api.DISK)
-    except BadList as error:
+    except BadListError as error:
         return f"known: {error}"
     except (ConfigError, SettingsError) as error:
         return str(error).removeprefix("RELAY_CONFIG: ")
--- a/violetsaddle/control/server.py
+++ b/violetsaddle/control/server.py
@@ -194,7 +194,7 @@
                 self._awaited = True
                 self._patience.rest()
                 self._request(message)
-        except http.Malformed as error:
+        except http.MalformedError as error:
             self._home.counters.add("bad_messages")
             self._answer(refusal(error.status, "http", error.text), last=True)
         finally:
--- a/violetsaddle/control/transport.py
+++ b/violetsaddle/control/transport.py
@@ -41,7 +41,7 @@
             answer = self._parser.next()
             if answer is not None:
                 self._link.carried(self, answer.status, answer.keeps_alive and not self._parser.held)
-        except http.Malformed:
+        except http.MalformedError:
             self.transport.abortConnection()
         except Exception as error:
             self._link.counters.fault("a connection to a replica failed", error)
--- a/violetsaddle/net/discovery.py
+++ b/violetsaddle/net/discovery.py
@@ -16,20 +16,20 @@
 from violetsaddle.net.deadlines import Clock, Deadlines, Reactor
 from violetsaddle.net.limits import MS, Limits
 from violetsaddle.net.requests import Requests
-from violetsaddle.net.servers import Broken, NotConnected, ServerConnection, Servers, dial
+from violetsaddle.net.servers import BrokenError, NotConnectedError, ServerConnection, Servers, dial
 
 MOST_DOUBLINGS = 2  # of the time for an answer, after calls that were given up: 1.1 s, 2.2 s, 4.4 s
 STATES = {"up": api.ACTIVE, "draining": api.DRAINING, "removed": api.GONE}
 
 
-class BadList(Exception):
+class BadListError(Exception):
     """What discovery gave is no list; the text names the fault."""
 
 
 def address(text: object, least: int = 1) -> tuple[str, int]:
     host, _, port = text.rpartition(":") if isinstance(text, str) else ("", "", "")
     if not host or not (host + port).isascii() or not port.isdigit() or not least <= int(port) < 65536:
-        raise BadList(f"addr is no address: {text!r}")
+        raise BadListError(f"addr is no address: {text!r}")
     return host, int(port)
 
 
@@ -68,7 +68,7 @@
         self.seen: list[Callable[[Any, str], object]] = []  # hear of each list taken in, and from where
 
     def take(self, told: Any, kind: str | None = None) -> None:
-        """Hands a list on; raises `BadList`, and then nothing of it counts."""
+        """Hands a list on; raises `BadListError`, and then nothing of it counts."""
         try:
             version, whole, items = int(told["version"]), bool(told["full"]), list(told["servers"])
             entries, gone = [], []
@@ -83,12 +83,12 @@
                 else:
                     addresses[name] = address(item.get("addr"))
                     (drained.add if entry.state == api.DRAINING else drained.discard)(name)
-        except (BadList, KeyError, TypeError, ValueError, OverflowError, AttributeError) as error:
+        except (BadListError, KeyError, TypeError, ValueError, OverflowError, AttributeError) as error:
             self._servers.prune()
             self._take_drains(told)
-            if isinstance(error, BadList):
+            if isinstance(error, BadListError):
                 raise
-            raise BadList(f"{type(error).__name__}: {error}") from None
+            raise BadListError(f"{type(error).__name__}: {error}") from None
         self._version = version
         if kind is None:
             self._counters.most("list_age_most_ms", (self._deadlines.now() - self._asked) // MS)
@@ -130,10 +130,10 @@
     def _entry(self, item: dict[str, Any]) -> api.Entry:
         name, state = item["id"], STATES[item.get("state", "up")]
         if not isinstance(name, str) or not name:
-            raise BadList("an entry's id is no name")
+            raise BadListError("an entry's id is no name")
         started, weight = int(item.get("started_ms") or 0), float(item.get("weight", 1.0))
         if not (math.isfinite(weight) and weight >= 0.0):
-            raise BadList(f"no weight: {weight}")
+            raise BadListError(f"no weight: {weight}")
         return api.Entry(
             worker=self._servers.number_of(name),
             zone=self._index(self._zones, item.get("zone", 0)),
@@ -148,7 +148,7 @@
     def _index(names: dict[str, int], name: object) -> int:
         index = names.get(name) if isinstance(name, str) else name
         if not isinstance(index, int) or not 0 <= index < max(1, len(names)):
-            raise BadList(f"unknown zone or kind: {name!r}")
+            raise BadListError(f"unknown zone or kind: {name!r}")
         return index
 
     def watch(self) -> None:
@@ -208,7 +208,7 @@
                 if self._version == held:
                     # Guards against a discovery that answers at once with nothing new: it must not spin.
                     await self._pause()
-        except (NotConnected, Broken, CancelledError):
+        except (NotConnectedError, BrokenError, CancelledError):
             wrong = self._connection.wrong if self._connection is not None else ""
             if round == self._round and wrong:
                 # The list before stays in force.
@@ -220,7 +220,7 @@
             elif round == self._round:
                 self._counters.add("watch_broken")
                 self._counters.event("watch broken", "warning", at=f"{self._host}:{self._port}")
-        except (BadList, ValueError, RecursionError) as error:
+        except (BadListError, ValueError, RecursionError) as error:
             self._counters.add("watch_bad")
             self._counters.say(f"discovery gave a bad list: {error}"[:300])
         self._over(round)
--- a/violetsaddle/net/disk.py
+++ b/violetsaddle/net/disk.py
@@ -15,7 +15,7 @@
     """Where a snapshot lies."""
 
     def read(self) -> bytes | None:
-        """None: there is none.  Raises `Damaged`."""
+        """None: there is none.  Raises `DamagedError`."""
 
     def write(self, data: bytes) -> None:
         """Replaces it as a whole; raises `OSError`.  May take long: never called on the reactor's way."""
--- a/violetsaddle/net/edge.py
+++ b/violetsaddle/net/edge.py
@@ -21,7 +21,7 @@
 from violetsaddle.net.counters import Counters
 from violetsaddle.net.deadlines import Deadlines, Patience, Transport
 from violetsaddle.net.limits import MS, SECOND, Limits
-from violetsaddle.net.requests import Failure, Requests, Unfit
+from violetsaddle.net.requests import Failure, Requests, UnfitError
 from violetsaddle.net.slots import SlotTable
 
 try:
@@ -77,10 +77,10 @@
 
 
 def remaining(text: str | None) -> int:
-    """Microseconds of `480m` or `9000u`; raises `Unfit`."""
+    """Microseconds of `480m` or `9000u`; raises `UnfitError`."""
     number, unit = (text or "")[:-1], (text or "")[-1:]
     if unit not in UNITS or not number.isascii() or not number.isdigit() or len(number) > 12:
-        raise Unfit("X-Remaining is missing or no time")
+        raise UnfitError("X-Remaining is missing or no time")
     return int(number) * UNITS[unit]
 
 
@@ -97,9 +97,9 @@
             try:
                 number = float(value)
             except ValueError:
-                raise Unfit(f"the label {name} is no number") from None
+                raise UnfitError(f"the label {name} is no number") from None
             if not 0 < number <= 1024:
-                raise Unfit(f"the label {name} is out of range")
+                raise UnfitError(f"the label {name} is out of range")
             return number
     return default
 
@@ -357,7 +357,7 @@
         self._reading = True
         try:
             self._read_all(fresh)
-        except http.Malformed as error:
+        except http.MalformedError as error:
             self._refused(error)
         except Exception as error:
             self._shared.counters.fault("an edge connection failed", error)
@@ -380,7 +380,7 @@
 
             self._shared.deadlines.after(self._shared.limits.edge_pause, again)
 
-    def _refused(self, error: http.Malformed) -> None:
+    def _refused(self, error: http.MalformedError) -> None:
         self._shared.counters.add("bad_messages")
         if self._awaited:
             self._abort()  # the answer owed can't be given in its turn any more
@@ -396,7 +396,7 @@
             message = self._parser.next()
             if message is None:
                 if self._spilt:
-                    raise http.Malformed(413, "too much was sent ahead")
+                    raise http.MalformedError(413, "too much was sent ahead")
                 # The first message's time counts from the connection's start: else silence would double it.
                 if self._parser.held and fresh and not self._first:
                     self._wait(self._shared.limits.edge_read)
@@ -430,11 +430,11 @@
         try:
             job, cls = message.header("x-txn") or "", message.header("x-lane")
             if not ID.fullmatch(job) or len(job) > limits.identity:
-                raise Unfit("X-Txn is missing or no id")
+                raise UnfitError("X-Txn is missing or no id")
             time = remaining(message.header("x-remaining"))
             slots = labelled(message.header("x-labels"), "slots", 1.0)
             if cls is None:
-                raise Unfit("X-Lane is missing")
+                raise UnfitError("X-Lane is missing")
             self._awaited = True
             self._rest()
             number = self._shared.requests.arrive(
@@ -450,7 +450,7 @@
                 self,
             )
             self._request = number
-        except Unfit as error:
+        except UnfitError as error:
             self._awaited = False
             self._answer(400, str(error).encode())
 
--- a/violetsaddle/net/http.py
+++ b/violetsaddle/net/http.py
@@ -49,7 +49,7 @@
 )
 
 
-class Malformed(Exception):
+class MalformedError(Exception):
     """What came in is no message that can be taken; `status` is the answer it deserves."""
 
     def __init__(self, status: int, text: str) -> None:
@@ -171,7 +171,7 @@
             return self._cut() if self._read_chunks() else None
         if self._length is None or len(self._buffer) < self._body_at + self._length:
             if self._length is None and len(self._buffer) - self._body_at > self._most_body:
-                raise Malformed(413, "the body is too large")
+                raise MalformedError(413, "the body is too large")
             return None
         self._kept = self._read_at = self._body_at + self._length
         return self._cut()
@@ -200,7 +200,7 @@
             del buffer[:2]
         end = buffer.find(END, max(0, self._scanned - 3))
         if end > self._limits.head or (end < 0 and len(buffer) > self._limits.head):
-            raise Malformed(431, "the head is too large")
+            raise MalformedError(431, "the head is too large")
         if end < 0:
             self._scanned = len(buffer)
             return False
@@ -217,7 +217,7 @@
         try:
             parts = line.decode("ascii").split(" ", 2 if self._answers else -1)
         except UnicodeDecodeError:
-            raise Malformed(400, "the first line is not ASCII") from None
+            raise MalformedError(400, "the first line is not ASCII") from None
         if self._answers:
             if (
                 len(parts) < 2
@@ -225,16 +225,16 @@
                 or len(parts[1]) != 3
                 or not parts[1].isdigit()
             ):
-                raise Malformed(502, "not an HTTP answer")
+                raise MalformedError(502, "not an HTTP answer")
             return parts[0], parts[1], ""
         if len(parts) != 3 or not parts[0] or not parts[0].isalpha() or not parts[1]:
-            raise Malformed(400, "not an HTTP request")
+            raise MalformedError(400, "not an HTTP request")
         if not CONTROLS.isdisjoint(parts[1].encode("ascii")):
-            raise Malformed(400, "the target holds control characters")
+            raise MalformedError(400, "the target holds control characters")
         if parts[1][:7].lower() == "http://":  # RFC 9112, 3.2.2: to be taken, though clients have no reason
             parts[1] = "/" + parts[1][7:].partition("/")[2]
         if parts[2] not in ("HTTP/1.1", "HTTP/1.0"):
-            raise Malformed(505 if parts[2].startswith("HTTP/") else 400, "the version is not HTTP/1.1")
+            raise MalformedError(505 if parts[2].startswith("HTTP/") else 400, "the version is not HTTP/1.1")
         return parts[0], parts[1], parts[2]
 
     def _field(self, at: int) -> int:
@@ -242,7 +242,7 @@
         buffer = self._buffer
         line = FIELD.match(buffer, at)
         if line is None:
-            raise Malformed(400, "a header has no name, a bad one, or control characters")
+            raise MalformedError(400, "a header has no name, a bad one, or control characters")
         first, last = line.span(2)
         while first < last and buffer[first] in b" \t":
             first += 1
@@ -251,7 +251,7 @@
         stop = line.end()
         self._fields.append((_key(line[1]), at, first, last, stop))
         if len(self._fields) > self._limits.fields:
-            raise Malformed(431, "the head holds too many headers")
+            raise MalformedError(431, "the head holds too many headers")
         return stop
 
     def _framing(self) -> None:
@@ -265,19 +265,19 @@
             elif key == "host":
                 hosts += 1
         if not self._answers and hosts != 1 and (hosts or (self._start or ("",) * 3)[2] == "HTTP/1.1"):
-            raise Malformed(400, "Host is missing or given twice")  # RFC 9112, 3.2
+            raise MalformedError(400, "Host is missing or given twice")  # RFC 9112, 3.2
         # Two ways to tell the end are two ways to read the connection: neither is taken.
         if encodings and (lengths or encodings != [b"chunked"]):
-            raise Malformed(400, "unclear transfer encoding")
+            raise MalformedError(400, "unclear transfer encoding")
         status = int(self._start[1]) if self._answers and self._start else 0
         if encodings:
             self._chunked = True
         elif lengths:
             if len(set(lengths)) > 1 or not lengths[0].isdigit() or len(lengths[0]) > 15:
-                raise Malformed(400, "bad content length")
+                raise MalformedError(400, "bad content length")
             self._length = int(lengths[0])
             if self._length > self._most_body:
-                raise Malformed(413, "the body is too large")
+                raise MalformedError(413, "the body is too large")
         elif self._answers:
             self._length = None
         if 100 <= status < 200 or status in (204, 304):
@@ -290,7 +290,7 @@
             stop = buffer.find(b"\r\n", self._read_at)
             if stop < 0 or stop - self._read_at > self._limits.head:
                 if len(buffer) - self._read_at > self._limits.head:
-                    raise Malformed(431, "a chunk's line is too large")
+                    raise MalformedError(431, "a chunk's line is too large")
                 return False
             if self._trailers:
                 done = stop == self._read_at
@@ -298,14 +298,14 @@
                 if done:
                     return True
                 if self._read_at - self._kept > self._limits.head + self._most_body:
-                    raise Malformed(431, "the trailers are too large")
+                    raise MalformedError(431, "the trailers are too large")
                 continue
             size = bytes(buffer[self._read_at : stop]).split(b";")[0].strip()
             if not size or len(size) > 8 or not HEX.issuperset(size):
-                raise Malformed(400, "bad chunk size")
+                raise MalformedError(400, "bad chunk size")
             length = int(size, 16)
             if self._kept - self._body_at + length > self._most_body:
-                raise Malformed(413, "the body is too large")
+                raise MalformedError(413, "the body is too large")
             if not length:
                 self._trailers, self._read_at = True, stop + 2
                 continue
@@ -313,7 +313,7 @@
             if len(buffer) < first + length + 2:
                 return False
             if buffer[first + length : first + length + 2] != b"\r\n":
-                raise Malformed(400, "a chunk does not end where it says")
+                raise MalformedError(400, "a chunk does not end where it says")
             buffer[self._kept : self._kept + length] = buffer[first : first + length]
             self._kept += length
             self._read_at = first + length + 2
--- a/violetsaddle/net/node.py
+++ b/violetsaddle/net/node.py
@@ -158,7 +158,7 @@
         self.status = 0
 
     def start(self, listener: socket.socket | None = None) -> None:
-        """Listens; raises `CannotListenError`, or `BadList` where the known list can't be read.
+        """Listens; raises `CannotListenError`, or `BadListError` where the known list can't be read.
 
         `listener`: listens already, at the address of the configuration; it is taken over."""
         if self.config.known:
--- a/violetsaddle/net/requests.py
+++ b/violetsaddle/net/requests.py
@@ -24,7 +24,7 @@
 T = TypeVar("T")
 
 
-class Unfit(Exception):
+class UnfitError(Exception):
     """A request that cannot be taken in; the text says why."""
 
 
@@ -246,20 +246,20 @@
         order: Order,
         client: Client,
     ) -> int:
-        """Takes a request in and gives its number; raises `Unfit` if it can't be."""
+        """Takes a request in and gives its number; raises `UnfitError` if it can't be."""
         index = self._classes.get(cls)
         if index is None:
-            raise Unfit("unknown class")
+            raise UnfitError("unknown class")
         place = self._tenants.get(tenant or "") if self._tenants else 0
         if place is None:
-            raise Unfit("unknown tenant")
+            raise UnfitError("unknown tenant")
         if remaining <= 0:
-            raise Unfit("no time remains")
+            raise UnfitError("no time remains")
         if self._told.classes[index].effect == api.KEYED and not repeat_key:
-            raise Unfit("this class needs a key against repeats")
+            raise UnfitError("this class needs a key against repeats")
         # Guards against an id sent again once its request is over: real servers may have run it already.
         if job in self._by_job or job in self._over or job in self.elsewhere:
-            raise Unfit("the id is in use")
+            raise UnfitError("the id is in use")
         now = self._deadlines.now()
         if self.ending:
             remaining = max(1, min(remaining, self.last_word - now))
--- a/violetsaddle/net/servers.py
+++ b/violetsaddle/net/servers.py
@@ -27,11 +27,11 @@
 CLEAN = (200, 202, 204, 404)
 
 
-class NotConnected(Exception):
+class NotConnectedError(Exception):
     """No connection came up: nothing was sent."""
 
 
-class Broken(Exception):
+class BrokenError(Exception):
     """The connection ended before a whole answer; `written`: the message's last byte had gone out; `begun`: a
     part of the answer, or one that can't be read, had come."""
 
@@ -40,7 +40,7 @@
         self.written, self.begun = written, begun
 
 
-class Withheld(Exception):
+class WithheldError(Exception):
     """There is a connection, and nothing is to be sent on it any more."""
 
 
@@ -93,7 +93,7 @@
     def exchange(
         self, message: Sequence[bytes], on_written: Callable[[], None] | None = None
     ) -> Deferred[http.Message]:
-        """Sends a message and gives its answer; fails with `Broken`.  Cancelling it closes the connection."""
+        """Sends a message and gives its answer; fails with `BrokenError`.  To cancel it closes the connection."""
         answer: Deferred[http.Message] = Deferred(self._cancelled)
         self._answer, self._message, self._written, self._on_written = answer, message, False, on_written
         if not self.open:
@@ -141,7 +141,7 @@
                 self.open = False
                 self.transport.loseConnection()
             self._give(message)
-        except http.Malformed as error:
+        except http.MalformedError as error:
             self.wrong = error.text
             self.transport.abortConnection()
 
@@ -153,7 +153,7 @@
     def _fail(self) -> None:
         answer, self._answer = self._answer, None
         if answer is not None:
-            answer.errback(Broken(self._written, bool(self.wrong) or self._parser.begun))
+            answer.errback(BrokenError(self._written, bool(self.wrong) or self._parser.begun))
 
     def connectionLost(self, reason: Reason = connectionDone) -> None:
         self.open = False
@@ -165,7 +165,7 @@
 
 
 class _Dial(ClientFactory):
-    """One try to connect; `done` fires with the connection or fails with `NotConnected`."""
+    """One try to connect; `done` fires with the connection or fails with `NotConnectedError`."""
 
     noisy = False
 
@@ -193,7 +193,7 @@
     def failed(self) -> None:
         done, self.done = self.done, None
         if done is not None:
-            done.errback(NotConnected())
+            done.errback(NotConnectedError())
 
     def too_late(self) -> None:
         self.failed()
@@ -228,7 +228,7 @@
     port: int,
     build: Callable[[], ServerConnection],
 ) -> Deferred[ServerConnection]:
-    """A new connection; fails with `NotConnected` when it does not come up in time.  Can be cancelled."""
+    """A new connection; fails with `NotConnectedError` if it does not come up in time.  Can be cancelled."""
     dialling = _Dial(build)
     done = dialling.done
     assert done is not None
@@ -365,7 +365,7 @@
 
     def _connect(self, server: RealServer, spare: int = 0) -> Deferred[ServerConnection]:
         if not server.port or not self._room(spare):
-            return fail(NotConnected())
+            return fail(NotConnectedError())
         self._dialling += 1
         dialled = dial(
             self._reactor,
@@ -442,13 +442,14 @@
         clean: Sequence[int] = CLEAN,
         sure: bool = False,
     ) -> Deferred[http.Message]:
-        """Sends a message made once there is a connection; fails with `NotConnected` or `Broken`.  `clean`:
-        after which answers the connection is kept; `sure`: no other answer may be taken for this one's."""
+        """Sends a message made once there is a connection; fails with `NotConnectedError` or `BrokenError`.
+        `clean`: after which answers the connection is kept; `sure`: no other answer may be taken for this
+        one's."""
         connection = None if fresh else self._idle(server, sure)
         if connection is not None:
             try:
                 return self._on(connection, message, on_written, clean)
-            except Withheld:
+            except WithheldError:
                 return fail()
         dialled: Deferred[Any] = self._connect(server)
         return dialled.addCallback(self._on, message, on_written, clean)
@@ -463,7 +464,7 @@
         sure = self._deadlines.now() >= connection.quiet
         try:
             parts = message()
-        except Withheld:
+        except WithheldError:
             self._keep(connection)
             raise
         answer = connection.exchange(parts, on_written)
@@ -486,7 +487,7 @@
     def _broke(self, reason: Reason, connection: ServerConnection) -> Reason:
         # Guards against real servers (or boxes between) that drop kept connections without a word: each
         # request written to one ends as a reset, of which nobody knows whether it ran.
-        if isinstance(reason.value, Broken) and not connection.fresh:
+        if isinstance(reason.value, BrokenError) and not connection.fresh:
             self._counters.add("kept_broken")
             if connection.server is not None:
                 self._counters.event("kept connection broke", "warning", server=connection.server.name)
@@ -494,7 +495,7 @@
         return reason
 
     def _failed(self, reason: Reason) -> None:
-        if not isinstance(reason.value, (CancelledError, NotConnected, Broken, Withheld)):
+        if not isinstance(reason.value, (CancelledError, NotConnectedError, BrokenError, WithheldError)):
             self._counters.fault("work for a real server failed", reason.value)
 
     # What the requests ask for.
@@ -524,15 +525,15 @@
         ticket.addErrback(self._failed)
 
     def _message(self, attempt: Attempt, server: RealServer, order: Order, until: int) -> Sequence[bytes]:
-        """What is to be sent; raises `Withheld`.  Asked as the first byte is to leave: a list, or the end of
-        the client, may have come during the dial."""
+        """What is to be sent; raises `WithheldError`.  Asked as the first byte is to leave: a list, or the
+        end of the client, may have come during the dial."""
         now = self._deadlines.now()
         if (
             not server.listed
             or server.drains
             or (now > attempt.sent + self._limits.unseen and not self._requests.wanted(attempt))
         ):
-            raise Withheld
+            raise WithheldError
         return order.message(server.address, until - now)
 
     def _answered(self, answer: http.Message, attempt: Attempt) -> None:
@@ -549,9 +550,9 @@
 
     def _not_carried(self, reason: Reason, attempt: Attempt) -> Reason | None:
         attempt.ticket = None
-        if isinstance(reason.value, (NotConnected, Withheld)):
+        if isinstance(reason.value, (NotConnectedError, WithheldError)):
             self._requests.word(attempt, Word.UNREACHED)
-        elif isinstance(reason.value, Broken):
+        elif isinstance(reason.value, BrokenError):
             self._requests.word(attempt, Word.CUT if reason.value.begun else Word.BROKE)
         else:
             return reason
@@ -601,7 +602,10 @@
                 # a connection now or says nothing.  Until it is told, or tells, nothing else may be sent; its
                 # time runs out at the latest.
                 holds = attempt.held and self._requests.waits(attempt)
-                lost = isinstance(result.value, (Broken, NotConnected)) and tries < self._limits.delete_tries
+                lost = (
+                    isinstance(result.value, (BrokenError, NotConnectedError))
+                    and tries < self._limits.delete_tries
+                )
                 if server.port and (lost or holds):
                     self._counters.add("deletes_again")
                     pause = self._limits.delete_pause * min(tries - 1, self._limits.delete_tries) + 1
--- a/violetsaddle/net/warmth.py
+++ b/violetsaddle/net/warmth.py
@@ -10,14 +10,14 @@
 from violetsaddle import interface as api
 from violetsaddle.decide import memory, warmth
 from violetsaddle.decide.memory import Believed, Memory
-from violetsaddle.net.discovery import BadList
+from violetsaddle.net.discovery import BadListError
 from violetsaddle.net.disk import Disk, Elsewhere, File, in_thread
 from violetsaddle.net.limits import SECOND
 from violetsaddle.net.node import Node
 from violetsaddle.net.peers import Peers
 from violetsaddle.operator import Restart
 from violetsaddle.store import snapshots
-from violetsaddle.store.files import Damaged
+from violetsaddle.store.files import DamagedError
 
 YOUNG = 2 * SECOND  # with a snapshot no older than this, peers are not asked
 
@@ -74,7 +74,7 @@
                 self._recall(snapshots.decode(data, self._digest))
             elif self._disk is not None:
                 node.counters.say("snapshot: there is none yet")
-        except Damaged as error:
+        except DamagedError as error:
             node.counters.add("snapshot_damaged")
             node.counters.say(f"snapshot: not used: {error}"[:300])
         except Exception as error:  # guards against a fault of ours: a fresh start does no harm
@@ -93,7 +93,7 @@
         if listing is not None:
             try:
                 node.discovery.take(listing, api.DISK)
-            except BadList as error:
+            except BadListError as error:
                 listing = None
                 node.counters.say(f"snapshot: its list is none: {error}"[:300])
         found = self._believed = node.requests.consult(
--- a/violetsaddle/store/files.py
+++ b/violetsaddle/store/files.py
@@ -11,7 +11,7 @@
 Step = Callable[[str], None]
 
 
-class Damaged(Exception):
+class DamagedError(Exception):
     """A file that can't be used; one line says why."""
 
 
@@ -20,7 +20,7 @@
 
 
 def read(path: str, most: int = MOST) -> bytes | None:
-    """A file's bytes; None where there is none.  Raises `Damaged` for one that can't be read."""
+    """A file's bytes; None where there is none.  Raises `DamagedError` for one that can't be read."""
     try:
         # Not waiting for whoever might write to a path that is a pipe.
         with open(os.open(path, os.O_RDONLY | os.O_NONBLOCK | os.O_CLOEXEC), "rb") as file:
@@ -28,9 +28,9 @@
     except FileNotFoundError:
         return None
     except (OSError, ValueError) as wrong:
-        raise Damaged(f"it can't be read: {getattr(wrong, 'strerror', None) or wrong}") from None
+        raise DamagedError(f"it can't be read: {getattr(wrong, 'strerror', None) or wrong}") from None
     if len(data) > most:
-        raise Damaged(f"it holds more than {most} bytes")
+        raise DamagedError(f"it holds more than {most} bytes")
     return data
 
 
--- a/violetsaddle/store/snapshots.py
+++ b/violetsaddle/store/snapshots.py
@@ -3,7 +3,7 @@
     magic 8 bytes | version u16 | length of the body u32 | digest of the settings 16 | body | checksum 16
 
 All numbers are big-endian; the body is MessagePack of `Memory`, the checksum BLAKE2b of all before it.
-Whatever is wrong with a file is `Damaged`: a fresh start does no harm."""
+Whatever is wrong with a file is `DamagedError`: a fresh start does no harm."""
 
 from __future__ import annotations
 
@@ -13,7 +13,7 @@
 import msgspec
 
 from violetsaddle.decide.memory import Memory, foremost
-from violetsaddle.store.files import MOST, Damaged
+from violetsaddle.store.files import MOST, DamagedError
 
 MAGIC = b"vsaddle\n"
 VERSION = 1
@@ -55,22 +55,22 @@
 
 
 def decode(data: bytes, settings: bytes) -> Memory:
-    """Raises `Damaged`."""
+    """Raises `DamagedError`."""
     try:
         magic, version, length, under = HEAD.unpack_from(data)
     except error:
-        raise Damaged(f"it is cut off: {len(data)} bytes") from None
+        raise DamagedError(f"it is cut off: {len(data)} bytes") from None
     if magic != MAGIC:
-        raise Damaged("it is no snapshot")
+        raise DamagedError("it is no snapshot")
     if version != VERSION:
-        raise Damaged(f"it is of version {version}, not {VERSION}")
+        raise DamagedError(f"it is of version {version}, not {VERSION}")
     if len(data) != HEAD.size + length + DIGEST:
-        raise Damaged(f"it holds {len(data)} bytes, not {HEAD.size + length + DIGEST}")
+        raise DamagedError(f"it holds {len(data)} bytes, not {HEAD.size + length + DIGEST}")
     if blake2b(data[:-DIGEST], digest_size=DIGEST).digest() != data[-DIGEST:]:
-        raise Damaged("its checksum is wrong")
+        raise DamagedError("its checksum is wrong")
     if under != settings:
-        raise Damaged("it was made under other settings")
+        raise DamagedError("it was made under other settings")
     try:
         return msgspec.msgpack.decode(data[HEAD.size : -DIGEST], type=Memory)
     except (msgspec.DecodeError, ValueError, RecursionError) as wrong:
-        raise Damaged(" ".join(f"its body can't be read: {wrong}".split())[:200]) from None
+        raise DamagedError(" ".join(f"its body can't be read: {wrong}".split())[:200]) from None
