--- a/violetsaddle/decide/memory.py
+++ b/violetsaddle/decide/memory.py
@@ -82,6 +82,8 @@
 
 
 class Bucket(msgspec.Struct, array_like=True):
+    """A tenant's tokens at the memory's making."""
+
     rate: float | None  # tokens a microsecond; None: not estimated
     tokens: float
 
@@ -184,6 +186,7 @@
 
 
 def learned_box(worker: Any, now: int, item: Mapping[str, Any]) -> Box:
+    """What is worth keeping of a worker; `item`: its entry in discovery's form."""
     started = item.get("started_ms") or 0
     cold = worker.cold_until > now
     if cold:
@@ -361,6 +364,7 @@
     find the boxes again."""
 
     def __init__(self) -> None:
+        """Holds no list yet."""
         self._version, self._items = 0, dict[str, Mapping[str, Any]]()
         self.source = ""
 
@@ -376,6 +380,7 @@
         self._version, self.source = int(told["version"]), source
 
     def whole(self) -> dict[str, Any] | None:
+        """The list as one answer of discovery; None before the first entry."""
         if not self._items:
             return None
         return {"version": self._version, "full": True, "servers": list(self._items.values())}
--- a/violetsaddle/decide/proof.py
+++ b/violetsaddle/decide/proof.py
@@ -25,6 +25,8 @@
 
 
 class Life(enum.StrEnum):  # as text it is hashed without a call
+    """How far an attempt has come, as far as is proven."""
+
     UNSENT = "unsent"  # its last byte has not left
     SENT = "sent"  # it has; no answer yet
     TAKEN = "taken"  # the real server has answered that it has the job, or it must be taken to have it
@@ -33,6 +35,8 @@
 
 
 class Word(enum.StrEnum):
+    """What is heard of an attempt: from its connection, in an answer, or in a callback."""
+
     WRITTEN = "the kernel has taken the last byte"
     UNREACHED = "no connection came up"
     BROKE = "the connection ended before any answer"
@@ -52,6 +56,8 @@
 
 
 class Step(NamedTuple):
+    """What a word makes of an attempt."""
+
     life: Life
     outcome: str = ""  # of the interface; "": none yet
     give_up: bool = False  # first the real server is told that the job is not wanted: it may still run
--- a/violetsaddle/decide/recovery.py
+++ b/violetsaddle/decide/recovery.py
@@ -25,6 +25,8 @@
 
 
 class Phase(enum.Enum):
+    """What the node believes of the site's power."""
+
     UNKNOWN = "unknown"  # the node has started and met nobody
     KNOWN = "known"  # discovery has spoken, or real servers are as the list has them
     DARK = "dark"  # discovery is silent and most real servers refuse: the site has lost power
@@ -32,6 +34,8 @@
 
 
 class Event(enum.Enum):
+    """What moves the phase."""
+
     LISTED = "discovery spoke"
     ALIVE = "a real server answered"
     REFUSED = "most real servers refuse, and discovery is silent"
@@ -54,6 +58,7 @@
     __slots__ = ("entry", "refused", "alive", "doubt")
 
     def __init__(self, entry: api.Entry) -> None:
+        """It has neither refused nor answered yet; `entry`: as discovery told it."""
         self.entry = entry  # as discovery told it
         self.refused, self.alive, self.doubt = -1, -1, 0
 
--- a/violetsaddle/decide/upgrade.py
+++ b/violetsaddle/decide/upgrade.py
@@ -44,6 +44,8 @@
 
 
 class Event(enum.Enum):
+    """What happens to one side; the messages are those of `net/upgrade.py`."""
+
     UPGRADE = "SIGUSR2"
     TERM = "SIGTERM"
     BEGUN = "begun"  # the successor's own start is done
@@ -69,6 +71,8 @@
 
 
 class Do(enum.Enum):
+    """What one side is to do; the value says it in words."""
+
     SPAWN = "start the successor"
     GIVE = "hand the sockets, the state and the ids over, then say whole"
     PAUSE = "accept no more, read no more datagrams, tell peers nothing"
@@ -154,6 +158,7 @@
     """One side's state.  What a table does not hold changes nothing, save for a message: that is nonsense."""
 
     def __init__(self, table: Table, state: enum.Enum) -> None:
+        """`table`: `OLD` or `NEW`."""
         self._table, self.state = table, state
 
     def take(self, event: Event) -> tuple[Do, ...]:
@@ -165,8 +170,10 @@
 
 
 def old() -> Life:
+    """The life of a process that listens."""
     return Life(OLD, Old.SERVING)
 
 
 def new() -> Life:
+    """The life of a successor."""
     return Life(NEW, New.BOOTING)
--- a/violetsaddle/decide/warmth.py
+++ b/violetsaddle/decide/warmth.py
@@ -59,6 +59,7 @@
 
 
 def padded(data: bytes) -> bytes:
+    """The datagram with up to two zero bytes behind it, so that its length tells it from the module's."""
     return data + bytes((2 - len(data)) % 3)
 
 
@@ -77,6 +78,7 @@
     """A node's questions at its start.  Calls give datagrams to send, as (peer's number, bytes)."""
 
     def __init__(self, me: int, schedulers: int, seed: int, now: int) -> None:
+        """`me`: this node's number of `schedulers`; `seed`: whom it asks first; `now`: microseconds."""
         self._random = Random(seed)
         self._others = [n for n in range(schedulers) if n != me]
         self._nonce, self._rounds = self._random.getrandbits(16), 0
@@ -88,6 +90,7 @@
 
     @property
     def answered(self) -> int:
+        """How many peers have told the fleet's values."""
         return sum(fleet is not None for _, fleet, _ in self._heard.values())
 
     def due(self, now: int) -> list[tuple[int, bytes]]:
@@ -126,6 +129,7 @@
         return not self.over and self.answered >= (1 if last else min(ENOUGH, len(self._others)))
 
     def late(self, now: int) -> bool:
+        """The time for asking is up."""
         return not self.over and now >= self._until
 
     def take(self, now: int) -> list[Heard]:
@@ -144,6 +148,7 @@
     """Whether and what a node answers."""
 
     def __init__(self, me: int, now: int) -> None:
+        """`me`: this node's number; `now`: when it started, microseconds."""
         self._me, self._began = me, now
         self._tokens, self._at = ANSWERS_SAVED, now
         self._done: OrderedDict[tuple[int, int], None] = OrderedDict()  # answered: a doubled question is one
--- a/violetsaddle/interface.py
+++ b/violetsaddle/interface.py
@@ -107,6 +107,7 @@
     fetch_price: float = 0.0  # of an origin fetch for each request
 
     def __post_init__(self) -> None:
+        """Raises `SettingsError`, which names the first setting out of range."""
         checks = (
             ("classes", len(self.classes) > 0),
             ("tenants", len(self.tenants) > 0 and all(t.share >= 0 for t in self.tenants)),
@@ -149,17 +150,24 @@
         """An attempt; it is given up at `until` (0: at the deadline), and ends as `MOOT` if its last byte has
         not left at `by`, beyond which it might no longer be known for a repeat."""
 
-    def refuse(self, job: str, retry_after: int) -> None: ...
+    def refuse(self, job: str, retry_after: int) -> None:
+        """The request's final answer: it is turned down.  `retry_after`: microseconds after which its client
+        may ask again, 0 where nothing is advised."""
 
-    def fail(self, job: str) -> None: ...
+    def fail(self, job: str) -> None:
+        """The request's final answer: no result."""
 
-    def cancel(self, job: str, attempt: int) -> None: ...
+    def cancel(self, job: str, attempt: int) -> None:
+        """Gives up an attempt; its outcome, `CANCELLED` or what came first, is still told."""
 
-    def probe(self, worker: int) -> None: ...
+    def probe(self, worker: int) -> None:
+        """Asks a worker whether it is up and how loaded it is; the answer is an event, once."""
 
     def tell(self, data: bytes, to: int | None = None) -> None:
         """To one peer by its number, or to every peer; may be lost."""
 
-    def watch(self) -> None: ...
+    def watch(self) -> None:
+        """Asks for the list or its changes; the answer is an event."""
 
-    def arm(self, time: int) -> None: ...
+    def arm(self, time: int) -> None:
+        """The event `wake` is to come at `time`, microseconds on the module's clock, or soon after."""
--- a/violetsaddle/net/counters.py
+++ b/violetsaddle/net/counters.py
@@ -25,14 +25,19 @@
 
     timer: Callable[[int, Callable[[], object]], object] | None  # runs something after so many microseconds
 
-    def say(self, text: str) -> None: ...
+    def say(self, text: str) -> None:
+        """A line that operators are to see."""
 
-    def fault(self, text: str, error: BaseException | None) -> None: ...
+    def fault(self, text: str, error: BaseException | None) -> None:
+        """An exception that was caught where none should be; `text`: what failed by it."""
 
-    def event(self, name: str, level: str = "info", /, **fields: object) -> None: ...
+    def event(self, name: str, level: str = "info", /, **fields: object) -> None:
+        """Something that happened to a request, an attempt or a real server; `fields` are its details."""
 
 
 class Counters:
+    """Counts by name since the start, and the node's way to its log."""
+
     def __init__(self, name: str, log: Sink | None = None) -> None:
         """`log`: takes the lines and events instead of standard error."""
         self.name, self._log, self._outlet = name, log, Outlet(sys.stderr)
@@ -40,6 +45,7 @@
         self.held: Callable[[], dict[str, int]] = dict  # what is held at this moment, shown with the counts
 
     def add(self, what: str) -> None:
+        """Counts one more."""
         self._counts[what] += 1
 
     def most(self, what: str, value: int) -> None:
@@ -47,6 +53,7 @@
         self._counts[what] = max(self._counts[what], value)
 
     def get(self, what: str) -> int:
+        """0 for what was never counted."""
         return self._counts[what]
 
     def fault(self, text: str, error: BaseException | None) -> None:
@@ -63,6 +70,7 @@
             self._log.event(name, level, **fields)
 
     def say(self, text: str) -> None:
+        """Writes a line to the log; one that can't be written is lost without a word."""
         if self._log is not None:
             self._log.say(text)
             return
@@ -72,6 +80,7 @@
             pass  # a log that has gone away is no reason to stop serving
 
     def show(self) -> None:
+        """Writes all counts and what is held now as one line, sorted by name."""
         shown = {**self._counts, **{f"held_{what}": count for what, count in self.held().items()}}
         shown.update((old, shown[new]) for new, old in FORMER_NAMES.items() if new in shown)
         self.say("counters " + " ".join(f"{k}={v}" for k, v in sorted(shown.items())))
--- a/violetsaddle/net/deadlines.py
+++ b/violetsaddle/net/deadlines.py
@@ -20,18 +20,22 @@
 class Clock(Protocol):
     """Both in microseconds: one that never goes backwards, for everything the node does, and Unix time."""
 
-    def monotonic(self) -> int: ...
+    def monotonic(self) -> int:
+        """Microseconds since some moment; never goes backwards."""
 
-    def unix(self) -> int: ...
+    def unix(self) -> int:
+        """Microseconds since 1970; may jump."""
 
 
 class SystemClock:
     """The machine's own."""
 
     def monotonic(self) -> int:
+        """The kernel's CLOCK_MONOTONIC, in microseconds."""
         return time.monotonic_ns() // 1000
 
     def unix(self) -> int:
+        """The kernel's CLOCK_REALTIME, in microseconds."""
         return time.time_ns() // 1000
 
 
@@ -48,10 +52,14 @@
     __slots__ = ("at", "number", "what")
 
     def __init__(self, at: int, number: int, what: Callable[[], object]) -> None:
+        """`at`: microseconds; `number`: tells it from others of the same time; `what`: called when it has
+        come."""
         self.at, self.number, self.what = at, number, what
 
 
 class Deadlines:
+    """What is to be done when; each is called once, at its time or soon after, unless it is dropped."""
+
     def __init__(self, reactor: Reactor, clock: Clock, fault: Callable[[str, BaseException], None]) -> None:
         """`now` is the clock of all that waits: whoever is given the deadlines needs no other."""
         self._reactor, self._fault = reactor, fault
@@ -65,9 +73,12 @@
         self._sweeping = False
 
     def __len__(self) -> int:
+        """How many have neither come nor been dropped."""
         return len(self._sorted)
 
     def add(self, at: int, what: Callable[[], object]) -> Deadline:
+        """Has `what` called at a time of `now`, microseconds; one that has passed is due at the next
+        sweep."""
         self._number += 1
         deadline = Deadline(at, self._number, what)
         self._sorted.add((at, self._number, deadline))
@@ -76,6 +87,7 @@
         return deadline
 
     def after(self, wait: int, what: Callable[[], object]) -> Deadline:
+        """Has `what` called so many microseconds from now."""
         return self.add(self.now() + wait, what)
 
     def drop(self, deadline: Deadline | None) -> None:
@@ -132,6 +144,7 @@
     __slots__ = ("_deadlines", "_what", "_deadline", "until")
 
     def __init__(self, deadlines: Deadlines, what: Callable[[], object]) -> None:
+        """Waits for nothing until `set`; `what`: called when the time is up."""
         self._deadlines, self._what = deadlines, what
         self._deadline: Deadline | None = None
         self.until = 0  # 0: it waits for nothing
--- a/violetsaddle/net/discovery.py
+++ b/violetsaddle/net/discovery.py
@@ -27,6 +27,7 @@
 
 
 def address(text: object, least: int = 1) -> tuple[str, int]:
+    """Host and port of `host:port`, the port at least `least`; raises `BadListError`."""
     host, _, port = text.rpartition(":") if isinstance(text, str) else ("", "", "")
     if not host or not (host + port).isascii() or not port.isdigit() or not least <= int(port) < 65536:
         raise BadListError(f"addr is no address: {text!r}")
@@ -49,6 +50,7 @@
         kinds: Sequence[str],
         clock: Clock,
     ) -> None:
+        """`at`: discovery's host and port; `zones`, `kinds`: names in the order of the module's numbers."""
         self._reactor, self._limits, self._deadlines, self._counters = reactor, limits, deadlines, counters
         self._requests, self._servers, self._host, self._port = requests, servers, *at
         self._zones = {name: index for index, name in enumerate(zones)}
@@ -152,6 +154,7 @@
         return index
 
     def watch(self) -> None:
+        """Asks for the list or its changes, unless a call is under way or it was stopped."""
         if self._watching or self._stopped:
             return
         self._watching = True
@@ -172,6 +175,7 @@
         self.watch()
 
     def stop(self) -> None:
+        """Hangs up; from then on nothing is asked."""
         self._stopped = True
         self._hang_up()
 
--- a/violetsaddle/net/disk.py
+++ b/violetsaddle/net/disk.py
@@ -25,12 +25,15 @@
     """`Disk`: a file."""
 
     def __init__(self, path: str, step: Step = no_step) -> None:
+        """`step`: told of each step of a write, for tests."""
         self._path, self._step = path, step
 
     def read(self) -> bytes | None:
+        """The file's bytes, None where there is none; raises `DamagedError`."""
         return files.read(self._path)
 
     def write(self, data: bytes) -> None:
+        """Replaces the file; raises `OSError`."""
         files.write(self._path, data, self._step)
 
 
--- a/violetsaddle/net/edge.py
+++ b/violetsaddle/net/edge.py
@@ -51,6 +51,7 @@
     __slots__ = ("_head", "_body")
 
     def __init__(self, message: http.Message) -> None:
+        """Copies what is to be passed on of a message whose buffer goes away."""
         # What is passed on is copied in one go, for it must outlive its buffer; the lengths are our own.
         self._body = bytes(message.body)
         self._head = (
@@ -60,6 +61,7 @@
         )
 
     def message(self, host: str, wait: int) -> Sequence[bytes]:
+        """As `requests.Order.message`; `wait` is told as 1 at least."""
         return self._head, f"Host: {host}\r\nX-Remaining: {max(1, wait)}u\r\n\r\n".encode("ascii"), self._body
 
 
@@ -91,6 +93,8 @@
 
 
 def labelled(text: str | None, name: str, default: float) -> float:
+    """The number of `name=number` in a list of labels, else `default`; raises `UnfitError` for one that is no
+    number, or is outside 0 to 1024."""
     for pair in (text or "").split(","):
         key, _, value = pair.partition("=")
         if key.strip() == name:
@@ -174,6 +178,7 @@
 
     @property
     def idle(self) -> bool:
+        """It owes no answer, holds no part of a message and is not being closed."""
         return not self._awaited and not self._parser.held and not self._closing
 
     @property
@@ -200,6 +205,7 @@
         return bool(self._peek())
 
     def left(self) -> bool:
+        """As `requests.Client.left`."""
         # Asked of the kernel only where its end may lie there for long: a request that came first on its
         # connection may have waited for us to accept it.
         return (self._early or self._shared.behind() > self._shared.limits.unseen) and self._peek() == b""
@@ -228,6 +234,7 @@
         return True
 
     def connectionMade(self) -> None:
+        """Twisted: the connection is up."""
         self.transport.setTcpNoDelay(True)
         number = self.number = self._shared.connections.put(self)
         connections = self._shared.connections
@@ -242,6 +249,7 @@
         self._wait(self._shared.limits.edge_first)
 
     def connectionLost(self, reason: Reason = connectionDone) -> None:
+        """Twisted: the connection has ended; a request that was open has lost its client."""
         self._lost = True
         if self._patience is not None:
             self._patience.end()
@@ -263,6 +271,7 @@
             self._patience.rest()
 
     def timed_out(self) -> None:
+        """The time for what is waited for is up: a message's rest, the next one, or the client's end."""
         if self._closing:
             self._part()
         elif self._parser.held:
@@ -305,6 +314,7 @@
         return int(len(transport.dataBuffer) - transport.offset + transport._tempDataLen)
 
     def close_next(self) -> None:
+        """The next answer is its last."""
         self._close_next = True
 
     def close_soon(self, unread_too: bool = False) -> None:
@@ -328,6 +338,7 @@
             self._close_idle()
 
     def dataReceived(self, data: bytes, fresh: bool = False) -> None:
+        """Twisted: bytes have come; `fresh`: they begin a message."""
         if self._closing or self._spilt:
             self._pass_over(len(data))
             return
@@ -476,13 +487,16 @@
     # The final answers.
 
     def served(self, result: bytes) -> None:
+        """As `requests.Client.served`: 200 with the result."""
         self._final(200, result)
 
     def turned_down(self, come_back: int, before_sending: bool) -> None:
+        """As `requests.Client.turned_down`: 429 before anything was sent, else 503."""
         headers = f"Retry-After: {come_back / SECOND:.6f}\r\n" if come_back > 0 else ""
         self._final(429 if before_sending else 503, headers=headers)
 
     def failed(self, why: Failure) -> None:
+        """As `requests.Client.failed`: 504 if time ran out, else 502."""
         self._final(504 if why is Failure.LATE else 502)
 
     def _final(self, status: int, body: bytes = b"", headers: str = "") -> None:
@@ -509,6 +523,7 @@
     noisy = False
 
     def __init__(self, shared: Shared) -> None:
+        """`shared`: what its connections work with; whoever listens sets `hold`."""
         self.shared = shared
         self.closing = False  # a new connection's first answer is its last
         self.hold: Callable[[bool], None] = lambda held: None  # stops and resumes accepting
@@ -521,6 +536,7 @@
         self.pass_on: Callable[[bytes, Callable[[int], None]], None] | None = None
 
     def buildProtocol(self, addr: IAddress | None) -> EdgeConnection:
+        """Twisted: a connection was accepted; at the limit an idle one closes for it."""
         limits, held = self.shared.limits, len(self.shared.connections) + 1
         if held >= limits.edge_connections and not self._make_room():
             # None is idle.  Beyond the limit a few are taken for callbacks, without which no request would
@@ -572,6 +588,7 @@
             connection.close_next()
 
     def close_unused(self) -> None:
+        """Closes idle connections on which something was asked before."""
         for connection in self.shared.connections:
             connection.close_unused()
 
@@ -583,5 +600,6 @@
                 connection.close_soon()
 
     def close_all(self) -> None:
+        """Closes every connection that owes no answer; the others close with theirs."""
         for connection in self.shared.connections:
             connection.close_soon(unread_too=True)
--- a/violetsaddle/net/http.py
+++ b/violetsaddle/net/http.py
@@ -53,6 +53,7 @@
     """What came in is no message that can be taken; `status` is the answer it deserves."""
 
     def __init__(self, status: int, text: str) -> None:
+        """`status`: the HTTP status of the answer; `text`: what is wrong, its body."""
         super().__init__(text)
         self.status, self.text = status, text
 
@@ -83,6 +84,8 @@
     def __init__(
         self, start: tuple[str, str, str], view: memoryview, spans: list[Span], body: memoryview
     ) -> None:
+        """`start`: the first line's three parts; `view`: the bytes that hold all; `spans`: where the headers
+        lie in it."""
         self.start, self._view, self._spans, self.body = start, view, spans, body
         self._values: dict[str, str] = {}
         self.sure = True  # no other message can be taken for it
@@ -114,10 +117,12 @@
 
     @property
     def status(self) -> int:
+        """An answer's status code."""
         return int(self.start[1])
 
     @property
     def keeps_alive(self) -> bool:
+        """The sender goes on with the connection after this message."""
         version = self.start[2] if self.start[2].startswith("HTTP/") else self.start[0]
         wishes = (self.header("connection") or "").lower()
         return "close" not in wishes and (version == "HTTP/1.1" or "keep-alive" in wishes)
@@ -127,6 +132,7 @@
     """Takes bytes as they come, gives whole messages; one side of one connection."""
 
     def __init__(self, limits: Limits, most_body: int, answers: bool = False) -> None:
+        """`most_body`: bytes of a body; `answers`: it reads a server's side of the connection."""
         self._limits, self._most_body, self._answers = limits, most_body, answers
         self._buffer = bytearray()
         self._reset()
@@ -141,6 +147,7 @@
         self._trailers = False
 
     def feed(self, data: bytes) -> None:
+        """Takes bytes in; `next` gives what they complete."""
         self._buffer += data
 
     @property
--- a/violetsaddle/net/limits.py
+++ b/violetsaddle/net/limits.py
@@ -63,6 +63,7 @@
 
     @classmethod
     def of(cls, told: Settings, sockets: int) -> Limits:
+        """For a node with these settings that may have so many sockets open."""
         usable = max(16, sockets - SPARE_DESCRIPTORS)
         # SIGKILL comes 0.7 s after the longest deadline, or after 3 s where that is longer.
         longest = min(3 * SECOND, max(c.deadline for c in told.classes))
--- a/violetsaddle/net/node.py
+++ b/violetsaddle/net/node.py
@@ -66,6 +66,7 @@
 
 
 def unchanged(limits: Limits) -> Limits:
+    """The limits of a node without an operator file."""
     return limits
 
 
@@ -86,6 +87,8 @@
 
 
 class Node:
+    """One node: its parts, wired together, and their life from the first list to the end after SIGTERM."""
+
     def __init__(
         self,
         reactor: Reactor,
@@ -242,6 +245,7 @@
         self.requests.teller = None
 
     def resume(self) -> None:
+        """Accepts, reads datagrams and tells peers again after `pause`."""
         self._paused = self.edge.closing = False
         self.requests.when_idle = self.edge.when_empty = None
         self._hold(self.edge.held)
--- a/violetsaddle/net/outlet.py
+++ b/violetsaddle/net/outlet.py
@@ -15,6 +15,7 @@
     Guards against a log that nobody reads: a full pipe would stop the program at its next line."""
 
     def __init__(self, stream: TextIO) -> None:
+        """A stream without a descriptor is not asked whether it takes anything."""
         self._stream, self._held, self.left_out = stream, "", 0
         self._poll: select.poll | None = None
         try:
@@ -25,12 +26,15 @@
             pass  # no descriptor behind it
 
     def writable(self) -> bool:
+        """True: it is a text stream to write to."""
         return True
 
     def isatty(self) -> bool:
+        """Whether its stream is a terminal."""
         return self._stream.isatty()
 
     def write(self, text: str) -> int:
+        """Holds the text until `flush`; gives its length in characters."""
         self._held += text
         return len(text)
 
--- a/violetsaddle/net/peers.py
+++ b/violetsaddle/net/peers.py
@@ -28,6 +28,8 @@
         peers: Sequence[tuple[str, int]],
         everyone: tuple[str, int] | None,
     ) -> None:
+        """`peers`: addresses by the peers' numbers; `everyone`: where one datagram reaches all, if there is
+        such an address."""
         self._reactor, self._limits, self._counters, self._requests = reactor, limits, counters, requests
         self._addresses = list(peers)
         self.aside: Callable[[int, bytes], bool] | None = None  # takes a datagram that is not the module's
@@ -35,6 +37,7 @@
         self._to = [everyone] if everyone is not None else list(peers)
 
     def listen(self, at: tuple[str, int]) -> None:
+        """Binds a UDP socket; one that can't be bound is a line in the log, and no peers are heard."""
         try:
             self._reactor.listenUDP(at[1], self, at[0], self._limits.datagram + 1)
         except CannotListenError as error:
@@ -55,10 +58,12 @@
             self.transport.stopReading()
 
     def resume(self) -> None:
+        """Reads again after `pause`."""
         if self.transport is not None:
             self.transport.startReading()
 
     def datagramReceived(self, data: bytes, addr: tuple[str, int]) -> None:
+        """Twisted: a datagram; one from no peer or beyond the limit counts as bad."""
         number = self._numbers.get(addr)
         if number is None or len(data) > self._limits.datagram:
             self._counters.add("bad_datagrams")
--- a/violetsaddle/net/reactor.py
+++ b/violetsaddle/net/reactor.py
@@ -19,7 +19,10 @@
 
 
 class Reactor(_EPoll):  # type: ignore[misc]
+    """`EPollReactor` that writes at the end of a turn; see the module."""
+
     def __init__(self) -> None:
+        """Opens the epoll descriptor, as Twisted's does."""
         # Writers that wait for the turn's end, in the order in which they asked.
         self._eager: dict[Any, None] = {}
         self._polled = self._polled_before = monotonic_ns()
@@ -30,6 +33,7 @@
         return (monotonic_ns() - self._polled_before) // 1000
 
     def addWriter(self, writer: Any) -> None:
+        """Twisted: it has something to write; that goes out when the turn ends."""
         # One that still connects has nothing to write: it waits for the kernel.
         if getattr(writer, "connected", False) and writer.fileno() not in self._writes:
             self._eager[writer] = None
@@ -37,15 +41,18 @@
             super().addWriter(writer)
 
     def removeWriter(self, writer: Any) -> None:
+        """Twisted: it has nothing to write any more."""
         if writer in self._eager:
             del self._eager[writer]
         else:
             super().removeWriter(writer)
 
     def getWriters(self) -> list[Any]:
+        """Twisted: those that wait for epoll and those that wait for the turn's end."""
         return [*super().getWriters(), *self._eager]
 
     def removeAll(self) -> list[Any]:
+        """Twisted: forgets all but its own and gives what it forgot."""
         eager, self._eager = self._eager, {}
         return list(dict.fromkeys([*super().removeAll(), *eager]))
 
@@ -76,6 +83,7 @@
                 super().addWriter(writer)
 
     def doPoll(self, timeout: float | None) -> None:
+        """Twisted: waits up to so many seconds (None: without end) and hands on what has come."""
         try:
             events = self._poller.poll(-1 if timeout is None else timeout, max(1, len(self._selectables)))
         except InterruptedError:
--- a/violetsaddle/net/requests.py
+++ b/violetsaddle/net/requests.py
@@ -45,11 +45,15 @@
 class Client(Protocol):
     """Who waits for the request's final answer: one of the first three methods is called, once."""
 
-    def served(self, result: bytes) -> None: ...
+    def served(self, result: bytes) -> None:
+        """The result, as the real server gave it."""
 
-    def turned_down(self, come_back: int, before_sending: bool) -> None: ...
+    def turned_down(self, come_back: int, before_sending: bool) -> None:
+        """A refusal.  `come_back`: microseconds until a repeat may do better, 0 where nothing is advised;
+        `before_sending`: no attempt was made."""
 
-    def failed(self, why: Failure) -> None: ...
+    def failed(self, why: Failure) -> None:
+        """No result: `why` says whether time ran out."""
 
     def left(self) -> bool:
         """Whether it has gone, also if nobody was told yet: asked just before an attempt leaves."""
@@ -79,7 +83,9 @@
     def __init__(
         self, request: int, job: str, number: int, server: int, sent: int, effect: str, may_cancel: bool
     ) -> None:
-        """`effect` and `may_cancel` (whether a DELETE may give it up): of its request."""
+        """`request`: the request's number; `job`: its id; `number`: which attempt of it, from 0; `server`:
+        the real server's number; `sent`: when, microseconds.  `effect` and `may_cancel` (whether a DELETE may
+        give it up): of its request."""
         self.effect, self.may_cancel = effect, may_cancel
         self.request, self.job, self.number, self.server, self.sent = request, job, number, server, sent
         self.life = Life.UNSENT
@@ -104,35 +110,44 @@
 class Carrier(Protocol):
     """What brings attempts to real servers."""
 
-    def carry(self, attempt: Attempt, order: Order, until: int) -> None: ...
+    def carry(self, attempt: Attempt, order: Order, until: int) -> None:
+        """Sends an attempt's message; what is heard of it comes back through `Requests.word` and
+        `Requests.noted`.  `until`: when it is given up, microseconds."""
 
     def give_up(self, attempt: Attempt) -> Deferred[None]:
         """Fires once the real server has been told, or can't be."""
 
-    def probe(self, server: int) -> None: ...
+    def probe(self, server: int) -> None:
+        """Asks a real server whether it is up; the answer comes back through `Requests.probed`, once."""
 
 
 class Teller(Protocol):
     """What brings words to the other nodes of the tier."""
 
-    def tell(self, data: bytes, to: int | None = None) -> None: ...
+    def tell(self, data: bytes, to: int | None = None) -> None:
+        """To one peer by its number, or to all; may be lost without a word."""
 
 
 class Doubter(Protocol):
     """What may know better than the list since when real servers run: `decide.recovery`.  Entries that it
     gives go to the module in place of the list's."""
 
-    def listed(self, now: int, kind: str, entries: Sequence[api.Entry]) -> Sequence[api.Entry]: ...
+    def listed(self, now: int, kind: str, entries: Sequence[api.Entry]) -> Sequence[api.Entry]:
+        """Discovery has told a list or a change of one."""
 
-    def refused(self, now: int, worker: int) -> None: ...
+    def refused(self, now: int, worker: int) -> None:
+        """No connection came up to a real server."""
 
-    def alive(self, now: int, worker: int) -> Sequence[api.Entry]: ...
+    def alive(self, now: int, worker: int) -> Sequence[api.Entry]:
+        """A real server has answered or called back."""
 
 
 class Watcher(Protocol):
     """What asks discovery."""
 
-    def watch(self) -> None: ...
+    def watch(self) -> None:
+        """Asks once for the list or its changes, unless a call is under way; the answer comes back through
+        `Requests.listed`."""
 
 
 # Settings, seed, time and actions to something with the events of `Balancer`.
@@ -161,6 +176,8 @@
     def __init__(
         self, job: str, order: Order, client: Client, deadline: int, told: api.Settings, cls: int
     ) -> None:
+        """`job`: its id; `deadline`: the module's, on the node's clock, microseconds; `cls`: its class's
+        number."""
         self.effect, self.aim = told.classes[cls].effect, told.classes[cls].aim
         self.most_attempts, self.may_cancel = told.most_attempts, told.may_cancel
         self.number, self.job, self.order, self.deadline = -1, job, order, deadline
@@ -171,6 +188,8 @@
 
 
 class Requests:
+    """All open requests; implements `interface.Actions` for the one decision module of the node."""
+
     def __init__(
         self,
         told: api.Settings,
@@ -204,6 +223,7 @@
         self._tally = Tally(self._balancer, counters) if isinstance(self._balancer, Balancer) else None
 
     def __len__(self) -> int:
+        """How many requests are open."""
         return len(self._table)
 
     # Ids, for another process of the same node.
@@ -213,6 +233,7 @@
         return job in self._by_job
 
     def open_ids(self) -> list[str]:
+        """Ids of the requests that are open here, oldest first."""
         return list(self._by_job)
 
     # What comes in.  Events are told one after the other: the module is never entered from its own actions.
@@ -319,6 +340,7 @@
         return True
 
     def listed(self, kind: str, entries: Sequence[api.Entry]) -> None:
+        """Discovery gave a list (`api.SNAPSHOT`), changes (`api.DIFF`) or none (`api.LIST_ERROR`)."""
         self._counters.add("lists_" + kind)
         self._counters.event("list applied", "debug", kind=kind, entries=len(entries))
         self._tell(lambda: self._balancer.members(self._deadlines.now(), kind, entries))
@@ -340,10 +362,12 @@
             self._tell(lambda: self._balancer.members(self._deadlines.now(), api.DIFF, entries))
 
     def probed(self, server: int, ok: bool, report: api.Report | None) -> None:
+        """A probe's answer; `report`: what the real server tells of its load, None where it tells nothing."""
         self._counters.add("probes_ok" if ok else "probes_failed")
         self._tell(lambda: self._balancer.probed(self._deadlines.now(), server, ok, report))
 
     def heard(self, peer: int, data: bytes) -> None:
+        """A datagram of the peer with this number."""
         self._tell(lambda: self._balancer.heard(self._deadlines.now(), peer, data))
 
     def reconfigure(self, told: api.Settings) -> None:
@@ -408,6 +432,7 @@
         return True
 
     def noted(self, attempt: Attempt, what: int, amount: float) -> None:
+        """A real server told of a start or of progress; `what` and `amount` are those of `Balancer.note`."""
         if attempt.life is not Life.ENDED:
             self._met(attempt.server, api.OK)
             request = self._table.get(attempt.request)
@@ -527,6 +552,8 @@
     # The module's actions.
 
     def send(self, job: str, worker: int, until: int, by: int = 0) -> None:
+        """Makes the next attempt of a request; one that may not leave any more ends as `api.MOOT` at once.
+        `until`, `by`: as in `interface.Actions`, microseconds."""
         request = self._table.get(self._by_job.get(job, -1))
         if request is None:
             return
@@ -557,6 +584,7 @@
         self.carrier.carry(attempt, request.order, until)
 
     def refuse(self, job: str, retry_after: int) -> None:
+        """Ends a request with a refusal; `retry_after`: microseconds, 0 where nothing is advised."""
         request = self._table.get(self._by_job.get(job, -1))
         if request is not None and request.client is not None:
             client, request.client = request.client, None
@@ -565,11 +593,13 @@
             self._tidy(request)
 
     def fail(self, job: str) -> None:
+        """Ends a request without a result."""
         request = self._table.get(self._by_job.get(job, -1))
         if request is not None:
             self._fail(request, Failure.LATE if request.late else Failure.BROKEN)
 
     def cancel(self, job: str, attempt: int) -> None:
+        """Gives up an attempt by its number; it ends as `api.CANCELLED` once the real server was told."""
         request = self._table.get(self._by_job.get(job, -1))
         if request is None or attempt >= len(request.attempts) or request.attempts[attempt].ended:
             return
@@ -577,15 +607,19 @@
         self.carrier.give_up(chosen).addBoth(lambda _: self.ended(chosen, api.CANCELLED))
 
     def probe(self, worker: int) -> None:
+        """Probes a real server by its number."""
         self._counters.add("probes")
         self.carrier.probe(worker)
 
     def tell(self, data: bytes, to: int | None = None) -> None:
+        """Hands a datagram to the teller; without one nothing goes out."""
         if self.teller is not None:
             self.teller.tell(data, to)
 
     def watch(self) -> None:
+        """Has discovery asked."""
         self.watcher.watch()
 
     def arm(self, time: int) -> None:
+        """Wakes the module at `time`, microseconds on the node's clock."""
         self._deadlines.add(time, lambda: self._tell(lambda: self._balancer.wake(self._deadlines.now())))
--- a/violetsaddle/net/servers.py
+++ b/violetsaddle/net/servers.py
@@ -32,10 +32,11 @@
 
 
 class BrokenError(Exception):
-    """The connection ended before a whole answer; `written`: the message's last byte had gone out; `begun`: a
-    part of the answer, or one that can't be read, had come."""
+    """The connection ended before a whole answer."""
 
     def __init__(self, written: bool, begun: bool) -> None:
+        """`written`: the message's last byte had gone out; `begun`: a part of the answer, or one that can't
+        be read, had come."""
         super().__init__("the connection broke")
         self.written, self.begun = written, begun
 
@@ -50,6 +51,7 @@
     __slots__ = ("name", "number", "host", "port", "idle", "listed", "drains")
 
     def __init__(self, name: str, number: int) -> None:
+        """Without an address until the list gives one; `number`: the one that `Servers.number_of` chose."""
         self.name, self.number, self.host, self.port = name, number, "", 0
         self.idle: list[int] = []  # numbers of connections, the one used last at the end
         self.listed = False
@@ -57,6 +59,7 @@
 
     @property
     def address(self) -> str:
+        """Host and port as a `Host` header bears them."""
         return f"{self.host}:{self.port}"
 
 
@@ -84,6 +87,7 @@
         self.quiet = 0  # from then on no second answer to the request before is to be expected
 
     def connectionMade(self) -> None:
+        """Twisted: the connection is up."""
         self.open = True
         self.transport.setTcpNoDelay(True)
         on_open, self.on_open = self.on_open, None
@@ -93,7 +97,8 @@
     def exchange(
         self, message: Sequence[bytes], on_written: Callable[[], None] | None = None
     ) -> Deferred[http.Message]:
-        """Sends a message and gives its answer; fails with `BrokenError`.  To cancel it closes the connection."""
+        """Sends a message and gives its answer; fails with `BrokenError`.  Cancelled, it closes the
+        connection."""
         answer: Deferred[http.Message] = Deferred(self._cancelled)
         self._answer, self._message, self._written, self._on_written = answer, message, False, on_written
         if not self.open:
@@ -109,6 +114,8 @@
         self.transport.abortConnection()
 
     def resumeProducing(self) -> None:
+        """Twisted, as a pull producer: first to write the message, then once the kernel has taken all of
+        it."""
         if self._message is not None:
             message, self._message = self._message, None
             self.transport.writeSequence(message)
@@ -123,6 +130,7 @@
         """The connection is lost: `connectionLost` tells of it."""
 
     def dataReceived(self, data: bytes) -> None:
+        """Twisted: bytes of an answer have come, or some that nobody asked for, which end the connection."""
         if self._answer is not None and not self._written:
             # Guards against a second answer to the request before, which would be taken for one to this, and
             # this would still go out: it does not, and nobody is misled.
@@ -156,6 +164,8 @@
             answer.errback(BrokenError(self._written, bool(self.wrong) or self._parser.begun))
 
     def connectionLost(self, reason: Reason = connectionDone) -> None:
+        """Twisted: the connection has ended; an exchange that still runs fails with `BrokenError`, unless its
+        answer is whole by that."""
         self.open = False
         whole = self._parser.finish()
         if whole is not None:
@@ -260,6 +270,8 @@
         told: api.Settings,
         fields: Mapping[str, str],
     ) -> None:
+        """`told`: whether cancels are allowed and how loads are reported; `fields`: the site's names for the
+        values of a report."""
         self._reactor, self._limits, self._deadlines = reactor, limits, deadlines
         self._counters, self._requests, self._fields = counters, requests, fields
         self._by_name: dict[str, RealServer] = {}
@@ -501,6 +513,8 @@
     # What the requests ask for.
 
     def carry(self, attempt: Attempt, order: Order, until: int) -> None:
+        """Dials if no kept connection may bear the attempt; a real server that drains or has gone counts as
+        unreached."""
         server = self._by_number.get(attempt.server)
         if server is None:
             self._requests.word(attempt, Word.UNREACHED)
@@ -559,6 +573,8 @@
         return None
 
     def give_up(self, attempt: Attempt) -> Deferred[None]:
+        """Closes the connection if no answer has come, and sends a DELETE where the site allows it and the
+        job may be there."""
         ticket, attempt.ticket = attempt.ticket, None
         if ticket is not None:
             ticket.cancel()  # no answer has come: the end of the connection gives the job up
@@ -616,6 +632,7 @@
         deleting.addBoth(over)
 
     def probe(self, server: int) -> None:
+        """Asks for `/alive` or, where the load is told by probes, for `/metrics/load`."""
         real = self._by_number.get(server)
         if real is None:
             self._requests.probed(server, False, None)
--- a/violetsaddle/net/slots.py
+++ b/violetsaddle/net/slots.py
@@ -12,16 +12,21 @@
 
 
 class SlotTable(Generic[T]):
+    """Items by number; a slot that was freed is used again under another number."""
+
     def __init__(self) -> None:
+        """Empty; its numbers tell up to 2**20 slots apart."""
         self._items: list[T | None] = []
         self._generations: list[int] = []
         self._free: list[int] = []
         self._held = 0
 
     def __len__(self) -> int:
+        """How many slots are taken."""
         return self._held
 
     def __iter__(self) -> Iterator[T]:
+        """Over a copy: items may be put and freed meanwhile."""
         return iter([item for item in self._items if item is not None])
 
     def put(self, item: T) -> int:
@@ -37,6 +42,7 @@
         return self._generations[index] << INDEX_BITS | index
 
     def get(self, number: int) -> T | None:
+        """The item, or None once it was freed."""
         index = number & INDEX_MASK
         if index >= len(self._items) or self._generations[index] != number >> INDEX_BITS:
             return None
--- a/violetsaddle/net/tally.py
+++ b/violetsaddle/net/tally.py
@@ -20,7 +20,10 @@
 
 
 class Tally:
+    """Judges each attempt as it is sent and counts it if it starts late."""
+
     def __init__(self, view: Balancer, counters: Counters) -> None:
+        """`view`: read, never changed."""
         self._view, self._counters = view, counters
 
     def sent(self, attempt: Begun) -> None:
--- a/violetsaddle/net/upgrade.py
+++ b/violetsaddle/net/upgrade.py
@@ -52,38 +52,54 @@
 
 
 class Hello(Struct, tag=True, array_like=True):
+    """The successor's first message: which protocol it speaks and its process id."""
+
     protocol: int
     pid: int
 
 
 class State(Struct, tag=True, array_like=True):
+    """What the old process hands over; the descriptors come with this message's first bytes."""
+
     sockets: int  # descriptors that come with it: the listener, and the datagrams' socket if there is one
     listing: Any  # the list of real servers in discovery's form, or None
     data: bytes  # what the node has learned; empty: nothing
 
 
 class Ids(Struct, tag=True, array_like=True):
+    """At most `IDS_EACH` ids, of requests open at the sender (`open`) or of all that must not come again."""
+
     ids: list[str]
     open: bool
 
 
 class Whole(Struct, tag=True, array_like=True):
+    """The state and all ids have been said."""
+
     pass
 
 
 class Ready(Struct, tag=True, array_like=True):
+    """The successor has taken the sockets, the state and all ids in."""
+
     pass
 
 
 class Go(Struct, tag=True, array_like=True):
+    """The old process accepts no longer: the successor is to."""
+
     pass
 
 
 class Serves(Struct, tag=True, array_like=True):
+    """The successor accepts."""
+
     pass
 
 
 class Ending(Struct, tag=True, array_like=True):
+    """The successor was told to end: the old one ends too."""
+
     pass
 
 
@@ -107,6 +123,8 @@
 
 
 class Called(Struct, tag=True, array_like=True):
+    """The answer to `Call` of this number: the HTTP status for the real server."""
+
     number: int
     status: int
 
@@ -134,6 +152,7 @@
 
     @classmethod
     def of(cls, restart: Any) -> Told:
+        """From the section `restart` of an operator file, whose times are seconds."""
         return cls(
             restart.upgrade,
             int(restart.upgrade_wait_s * SECOND),
@@ -177,6 +196,7 @@
         reactor.addReader(self)
 
     def fileno(self) -> int:
+        """The pair's descriptor, for the reactor."""
         return self._pair.fileno()
 
     def say(self, message: Message, fds: Sequence[int] = ()) -> None:
@@ -200,6 +220,7 @@
             self.connectionLost(why)
 
     def writeSomeData(self, data: Any) -> int | BaseException:
+        """Twisted: gives how many bytes the kernel took."""
         try:
             return self._pair.send(data)
         except BlockingIOError:
@@ -208,6 +229,7 @@
             return len(data)  # nobody reads it; what they have said still lies here, and then their end
 
     def doRead(self) -> Any:
+        """Twisted: takes in what has come; gives a reason once the other side has ended."""
         try:
             data, fds, _, _ = socket.recv_fds(self._pair, 65536, MOST_SOCKETS)
         except BlockingIOError:
@@ -240,6 +262,7 @@
         self._heard(None)
 
     def connectionLost(self, reason: Reason) -> None:
+        """Twisted: the other side has gone."""
         if not self.disconnected:
             self.hang_up()
             self._ended()
@@ -252,6 +275,7 @@
             self.drop_fds()
 
     def drop_fds(self) -> None:
+        """Closes descriptors that came and that nobody has taken."""
         for fd in self.fds:
             os.close(fd)
         self.fds = []
@@ -261,12 +285,14 @@
     """The successor's process, as its parent sees it."""
 
     def __init__(self, process: subprocess.Popen[bytes], deadlines: Deadlines) -> None:
+        """`process`: started, its end not waited for yet."""
         self._process, self._deadlines = process, deadlines
         self.pid = process.pid
         self._since = 0
         self._looking = False
 
     def kill(self) -> None:
+        """SIGKILL; nothing happens if it has ended."""
         try:
             self._process.kill()
         except OSError:
@@ -372,11 +398,13 @@
         notify("READY=1")
 
     def asked(self) -> None:
+        """On SIGUSR2; where no upgrade is offered nothing happens."""
         if not self._told.offered and self._life.state in (Old.SERVING, New.ALONE):
             return
         self._event(Event.UPGRADE)
 
     def stop(self) -> None:
+        """On SIGTERM."""
         self._event(Event.TERM)
 
     def ended(self) -> None:
--- a/violetsaddle/net/warmth.py
+++ b/violetsaddle/net/warmth.py
@@ -35,6 +35,7 @@
     """Implements `node.Keeper`."""
 
     def __init__(self, node: Node, told: Restart, disk: Disk | None, elsewhere: Elsewhere) -> None:
+        """`disk`: None where no snapshot is kept; `elsewhere`: runs the writing of one."""
         self._node, self._told, self._disk, self._elsewhere = node, told, disk, elsewhere
         config = node.config
         self._digest = snapshots.digest(
@@ -178,6 +179,8 @@
     # Peers.
 
     def meet(self, peers: Peers) -> None:
+        """Peers can be heard: answers their questions and, unless a young snapshot was found, asks them.
+        Does nothing where the operator file does not want warm starts."""
         if not self._told.warm_from_peers:
             return
         node, told = self._node, self._node.config.told
