--- a/tests/test_capacity.py
+++ b/tests/test_capacity.py
@@ -4,8 +4,10 @@
 
 from __future__ import annotations
 
+import asyncio
 import os
 import signal
+import socket
 import subprocess
 import sys
 import time
@@ -17,9 +19,11 @@
 
 from tests.faults import apply
 from violetsaddle.cli.lab import command
-from violetsaddle.lab.capacity import report, sizes, sweep
+from violetsaddle.lab import experiment
+from violetsaddle.lab.capacity import report, sizes, starts, sweep
 from violetsaddle.lab.capacity.fit import fit
-from violetsaddle.lab.capacity.world import Row
+from violetsaddle.lab.capacity.process import NodeDied, RealNode
+from violetsaddle.lab.capacity.world import Row, settings
 
 SUBSET = 16  # nodes that hear of an executor
 HELD = 40
@@ -135,6 +139,45 @@
     assert all(row.figures["own_heard_per_s"] > 0 for row in found)
 
 
+def test_a_node_whose_port_is_taken_does_not_pass_for_one_without_peers(tmp_path: Path) -> None:
+    async def start() -> None:
+        with socket.socket(socket.AF_INET, socket.SOCK_DGRAM) as taken:
+            taken.bind(("127.0.0.1", 0))
+            own = f"127.0.0.1:{taken.getsockname()[1]}"
+            node = RealNode(0, tmp_path)
+            told = settings(sizes.Sizes(nodes=2), 0, 1.0)
+            try:
+                await node.start(
+                    {
+                        "listen": "127.0.0.1:0",
+                        "discovery": own,
+                        "peer_listen": own,
+                        "peers": [own, own],
+                        "settings": told,
+                    },
+                    1024,
+                )
+            finally:
+                await node.end()
+
+    with pytest.raises(NodeDied, match="peer_listen: "):
+        asyncio.run(start())
+
+
+def test_waits_for_a_start_are_read_from_a_kept_day(tmp_path: Path) -> None:
+    kept = str(tmp_path / "kept.bin")
+    words = ["run", "calm", "--seconds", "3", "--nodes", "2", "--boxes", "6", "--keep", kept]
+    assert CliRunner().invoke(command, words).exit_code == 0
+    outcome = experiment.unpack(Path(kept).read_bytes())
+    found = starts.waits(outcome.day, outcome.records, 0)
+    assert set(found) == {one.name for one in outcome.day.classes}
+    for one in found.values():
+        count = one.waits.get_total_count()
+        assert 0 < count <= one.taken and one.late <= count and one.refused <= one.taken
+    assert all(one.taken == 0 for one in starts.waits(outcome.day, outcome.records).values())
+    starts.main([kept])
+
+
 # The command's own ways.
 
 
--- a/violetsaddle/lab/capacity/process.py
+++ b/violetsaddle/lab/capacity/process.py
@@ -103,6 +103,9 @@
         if found := re.search(r": listening on \S+:(\d+)$", line):
             if not self._listening.done():
                 self._listening.set_result(int(found[1]))
+        elif ": peer_listen: " in line:
+            if not self._listening.done():  # it would serve without its peers
+                self._listening.set_exception(NodeDied(f"node {self.number} (process {self.pid}): {line}"))
         elif ": counters " in line:
             pairs = (word.split("=") for word in line.partition(": counters ")[2].split())
             if self._counters is not None and not self._counters.done():
--- a/violetsaddle/lab/capacity/world.py
+++ b/violetsaddle/lab/capacity/world.py
@@ -25,6 +25,7 @@
 SECOND = 1_000_000  # microseconds, as settings have them
 DATAGRAM_HEADERS = 28  # bytes of IPv4 and UDP
 PORTS = (61_000, 65_500)  # beyond those that the kernel gives to connections
+READ_TRIES, READ_WAIT = 5, 0.02  # seconds for what was sent to be read
 LIST_SECONDS, CHANGE_SECONDS, AFTER_CHANGE = 30.0, 20.0, 0.3
 PER_KIND = 8  # executors of one cell
 CLASSES: list[dict[str, Any]] = [
@@ -122,18 +123,21 @@
     }
 
 
-def free_port(taken: set[int]) -> int:
-    """A UDP port that a node can take over."""
+_given: set[int] = set()  # ports that this process has given to nodes
+
+
+def free_port() -> int:
+    """A UDP port that a node can take over; none is given twice."""
     for _ in range(1000):
         port = random.randrange(*PORTS)
-        if port in taken:
+        if port in _given:
             continue
         with socket.socket(socket.AF_INET, socket.SOCK_DGRAM) as made:
             try:
                 made.bind((HOST, port))
             except OSError:
                 continue
-        taken.add(port)
+        _given.add(port)
         return port
     raise OSError(f"no free port from {PORTS[0]} to {PORTS[1]}")
 
@@ -211,9 +215,9 @@
 
     async def _start_nodes(self) -> None:
         assert self._discovery is not None and self._executors is not None
-        sizes, taken = self.sizes, set[int]()
+        sizes = self.sizes
         discovery = await self._discovery.start()
-        ports = [free_port(taken) for _ in range(self._real)]
+        ports = [free_port() for _ in range(self._real)]
         if self._real == 1:
             self._peers = HollowPeers(self.traffic, sizes.nodes, sizes.executors, sizes.zones, self._seed)
             ports += self._peers.start()
@@ -270,10 +274,16 @@
         return rows
 
     async def _read(self, node: RealNode) -> _Reading:
-        counters = await node.counters()
-        waits = sum(line.waits for clients in self._clients for line in clients.lines)
-        now = asyncio.get_running_loop().time()
-        return _Reading(now, node.usage(), self.traffic.copy(), counters, waits)
+        """Both sides at a moment when nothing passes, if there is one."""
+        loop = asyncio.get_running_loop()
+        for _ in range(READ_TRIES):
+            before, now = self.traffic.copy(), loop.time()
+            usage, counters = node.usage(), await node.counters()
+            waits = sum(line.waits for clients in self._clients for line in clients.lines)
+            await asyncio.sleep(READ_WAIT)
+            if self.traffic == before:
+                break
+        return _Reading(now, usage, before, counters, waits)
 
     async def _change(self) -> dict[str, float]:
         """Drains a share of the executors at once: what that costs, and how long until all nodes know."""
