A replica with more nodes than descriptors or a disk that hangs still serves; words of nodes by age

Now the longest settled idle connection makes room, then the oldest watch, answered early; those that end count apart. While the disk does not answer, messages that may be lost are, beyond 256. A node's refused key is cut and shown as it can be, for a watch must not fail over a key's name; of several replicas' words on one node its own last word counts, not a watch that stayed open.

--- a/violetsaddle/control/client.py
+++ b/violetsaddle/control/client.py
@@ -138,7 +138,7 @@
     newest: dict[str, dict[str, Any]] = {}
     for node in (n for status in told for n in status.nodes):
         held = newest.get(node["name"])
-        # Two replicas may have heard it: the one that heard it last counts.
+        # Several replicas may have heard it: its last word counts.
         if held is None or float(node["seconds_ago"]) < float(held["seconds_ago"]):
             newest[node["name"]] = node
     running, waiting, refused = [], {}, {}
--- a/violetsaddle/control/driver.py
+++ b/violetsaddle/control/driver.py
@@ -28,6 +28,7 @@
 MOST_BACKOFF = 800 * MS
 DISK_PAUSE = 500 * MS  # until a timer is told again whose step could not be written
 WRITE = 8 * SECOND  # a write is answered by then, whatever becomes of it
+WAITING = 256  # events, beyond which what may be lost is
 LOST_AFTER = 3 * SECOND  # without a message a replica counts as lost
 
 
@@ -196,6 +197,9 @@
     def _give(self, event: messages.Event) -> None:
         if self._ended:
             return
+        if len(self._events) >= WAITING and isinstance(event, messages.Received | messages.Tick):
+            self._counters.add("events_lost")  # the disk holds them up
+            return
         self._events.append(event)
         self._run()
 
--- a/violetsaddle/control/node_registry.py
+++ b/violetsaddle/control/node_registry.py
@@ -11,7 +11,7 @@
 
 class Node(NamedTuple):
     """`refused`: the number that its own check refused, 0 for none, and `why`: the key; `seconds_ago`: since
-    it was heard, 0 while its watch is open."""
+    its last word, which of several replicas' words on a node is the newest."""
 
     name: str
     number: int
@@ -21,10 +21,12 @@
 
 
 class _Told:
-    __slots__ = ("number", "refused", "why", "at", "watches")
+    """`at`: of its last word; `seen`: of that, or of the end of a watch; `watches`: open ones."""
+
+    __slots__ = ("number", "refused", "why", "at", "seen", "watches")
 
     def __init__(self) -> None:
-        self.number, self.refused, self.why, self.at, self.watches = 0, 0, "", 0, 0
+        self.number, self.refused, self.why, self.at, self.seen, self.watches = 0, 0, "", 0, 0, 0
 
 
 class NodeRegistry:
@@ -36,7 +38,7 @@
     def heard(self, name: str, number: int, refused: int, why: str, now: int) -> None:
         """A watch was opened: `watch_over` follows."""
         told = self._nodes.pop(name, None) or _Told()
-        told.number, told.at = number, now
+        told.number, told.at, told.seen = number, now, now
         if (
             refused or number >= told.refused
         ):  # told once, it holds until the node runs that number or a later
@@ -51,14 +53,14 @@
         told = self._nodes.get(name)
         if told is not None and told.watches:
             told.watches -= 1
-            told.at = now
+            told.seen = now
 
     def nodes(self, now: int) -> list[Node]:
-        """Those heard within the last 30 s, by name; others are forgotten."""
-        old = [n for n, t in self._nodes.items() if not t.watches and now - t.at > HEARD_WITHIN]
+        """Those heard within the last 30 s or with a watch open, by name; others are forgotten."""
+        old = [n for n, t in self._nodes.items() if not t.watches and now - t.seen > HEARD_WITHIN]
         for name in old:
             del self._nodes[name]
         return [
-            Node(n, t.number, t.refused, t.why, 0.0 if t.watches else round((now - t.at) / SECOND, 3))
+            Node(n, t.number, t.refused, t.why, round((now - t.at) / SECOND, 3))
             for n, t in sorted(self._nodes.items())
         ]
--- a/violetsaddle/control/server.py
+++ b/violetsaddle/control/server.py
@@ -24,8 +24,9 @@
 MOST_BODY = 256 * 1024  # bytes of a request's body
 MOST_WAIT_MS = 60_000
 MOST_NUMBER = 1 << 53  # of versions: JSON's readers take larger ones for something else
-MOST_NAME = 128  # characters of a node's, an author's or a key's name
+MOST_NAME = 256  # characters of a node's, an author's or a key's name
 MOST_WRITES = 16  # under way at once
+ENDING = 32  # connections beyond the limit, while others end for them
 REASONS = {**http.REASONS, 409: "Conflict", 422: "Unprocessable Content"}
 METHODS = {"/configuration": "GET, POST", "/configuration/status": "GET", "/replica": "POST"}
 
@@ -103,9 +104,9 @@
 
 
 def name(query: dict[str, str], key: str) -> str:
-    """A name without spaces or control characters; "" where it is not given.  Raises `Bad`."""
+    """A name without control characters; "" where it is not given.  Raises `Bad`."""
     text = query.get(key, "")
-    if len(text) > MOST_NAME or not all(c.isprintable() and c != " " for c in text):
+    if len(text) > MOST_NAME or not text.isprintable():
         raise Bad(400, "query", f"{key}: expected a name of at most {MOST_NAME} characters")
     return text
 
@@ -131,7 +132,12 @@
 
     @property
     def idle(self) -> bool:
-        return not self._awaited and not self._parser.held
+        return not self._awaited and not self._parser.held and not self._closing
+
+    @property
+    def ending(self) -> bool:
+        """Its last answer is out."""
+        return self._closing
 
     def connectionMade(self) -> None:
         self.transport.setTcpNoDelay(True)
@@ -159,6 +165,7 @@
 
     def abort(self) -> None:
         self._closing = True
+        self._home.connections.pop(self, None)
         self.transport.abortConnection()
 
     def dataReceived(self, data: bytes) -> None:
@@ -252,7 +259,7 @@
         self._last = True
         if self.watch is not None:
             self._home.watches.end(self.watch)
-        elif self.idle and not self._closing:
+        elif self.idle:
             self._closing = True
             self.transport.loseConnection()
 
@@ -280,7 +287,9 @@
     def open(self, connection: ControlConnection, query: dict[str, str]) -> None:
         """Answers at once or later; raises `Bad`."""
         after, wait = whole(query, "after", MOST_NUMBER), min(whole(query, "wait_ms", 1 << 40), MOST_WAIT_MS)
-        refused, node, why = whole(query, "refused", MOST_NUMBER), name(query, "node"), name(query, "why")
+        refused, node = whole(query, "refused", MOST_NUMBER), name(query, "node")
+        # Only shown: a node must not miss a version because of a key's name.
+        why = "".join(c if c.isprintable() else "?" for c in query.get("why", "")[:MOST_NAME])
         watch = Watch(connection, after, node)
         home = self._home
         home.counters.add("watches")
@@ -314,6 +323,14 @@
                 body = msgspec.json.encode({"number": newest.number, "digest": newest.digest})
                 watch.connection.answer(Answer(200, body))
 
+    def end_oldest(self) -> bool:
+        """Answers the watch that has waited longest, and closes its connection; False: there is none."""
+        for watch in self._open:
+            watch.connection.close_soon()
+            self._home.counters.add("watches_cut")
+            return True
+        return False
+
     def wake(self) -> None:
         """A version was committed: those that wait for it are answered."""
         number = self._home.service.newest().number
@@ -322,7 +339,8 @@
 
 
 class ControlFactory(Factory):
-    """Accepts connections, up to `limits.edge_connections`; at that the longest idle one makes room."""
+    """Accepts connections.  At `limits.edge_connections` the longest idle one makes room, or the oldest
+    watch, so that replicas and operators come through whatever number of nodes watch."""
 
     noisy = False
 
@@ -335,14 +353,27 @@
         self._writes = 0
 
     def buildProtocol(self, addr: IAddress | None) -> ControlConnection | None:
-        if len(self.connections) >= self.limits.edge_connections:
-            idle = [c for c in self.connections if c.idle]
-            if not idle:
-                self.counters.add("connections_refused")
-                return None
-            min(idle, key=lambda c: c.since).abort()
+        if not self._room():
+            self.counters.add("connections_refused")
+            return None
         return ControlConnection(self)
 
+    def _room(self) -> bool:
+        """Whether there is room for one more, which may have to be made."""
+        ending = [c for c in self.connections if c.ending]
+        if len(ending) >= ENDING:
+            # The client has not gone yet: its answer has had the most time to arrive.
+            min(ending, key=lambda c: c.since).abort()
+        if len(self.connections) - len(ending) < self.limits.edge_connections:
+            return True
+        # A young one is about to ask.
+        young = self.deadlines.now() - self.limits.edge_settled
+        idle = [c for c in self.connections if c.idle and c.since < young]
+        if not idle:
+            return self.watches.end_oldest()
+        min(idle, key=lambda c: c.since).abort()
+        return True
+
     def write(self, body: bytes, answer: Done) -> None:
         """A writer's document; raises `Bad`."""
         self.counters.add("writes")
