A refused version is told beside the one in force; changes between documents by name

The call of a node that had refused a version asked after that number, so that a replica took it for running it.

--- a/tests/test_document.py
+++ b/tests/test_document.py
@@ -18,6 +18,7 @@
     NODE_KEYS,
     DocumentError,
     baseline_of,
+    changes,
     check,
     digest,
     for_node,
@@ -299,6 +300,22 @@
         self.assertEqual(digest(""), "cae66941d9efbd404e4d88758ea67670")
         digest("\ud800")  # does not raise
 
+    def test_changes_are_named(self) -> None:
+        self.assertEqual(changes(BASELINE, copy.deepcopy(BASELINE)), [])
+        new = changed(("tenants", 1, "share"), 0.5, changed(("permissions", "cancel"), False))
+        new["tariffs"]["lateFail"] = 1
+        new["familyInfo"]["classStretch"] = [2.5, 3]
+        self.assertEqual(
+            changes(BASELINE, new),
+            [
+                "familyInfo.classStretch[1] 2.0 -> 3",
+                "permissions.cancel true -> false",
+                "tariffs.lateFail null -> 1",
+                "tenants[1].share 0.4 -> 0.5",
+            ],
+        )
+        self.assertEqual(changes({"a": [1]}, {"a": [1, 2]}), ["a [1] -> [1, 2]"])
+
     def test_a_node_gets_its_own_keys_back(self) -> None:
         self.assertEqual(for_node(json.dumps(BASELINE), 1, 1), SETTINGS)
         told = settings.read(for_node(json.dumps(changed(("permissions", "mostTries"), 2.0)), 3, 1))[1]
--- a/violetsaddle/decide/document.py
+++ b/violetsaddle/decide/document.py
@@ -99,6 +99,20 @@
     return {**json.loads(document), "ordinal": ordinal, "zone": zone}
 
 
+def changes(old: Any, new: Any, path: str = "") -> list[str]:
+    """What differs between two documents' settings, as `permissions.mostTries 3 -> 2`."""
+    if _same(old, new):
+        return []
+    if isinstance(old, dict) and isinstance(new, dict):
+        keys = [*old, *(key for key in new if key not in old)]
+        pairs = [(f"{path}.{key}" if path else key, old.get(key), new.get(key)) for key in keys]
+    elif isinstance(old, list) and isinstance(new, list) and len(old) == len(new):
+        pairs = [(f"{path}[{index}]", *both) for index, both in enumerate(zip(old, new))]
+    else:
+        return [f"{path} {json.dumps(old)} -> {json.dumps(new)}"]
+    return [line for name, before, after in pairs for line in changes(before, after, name)]
+
+
 def check(baseline: Mapping[str, Any], document: str) -> dict[str, Any]:
     """The document's settings; raises `DocumentError`, which names the first key that is wrong."""
     old, new = baseline_of(baseline), _parsed(document)
--- a/violetsaddle/decide/subscription.py
+++ b/violetsaddle/decide/subscription.py
@@ -10,7 +10,8 @@
   not know that it is behind, and would keep its nodes there.
 - A node that hears from another node of a newer version asks the next replica, after a random wait so that
   the nodes of a large tier do not ask together; the replicas are asked for an answer at once, each in turn.
-- A version is applied only if its number is above every number seen before.
+- A version is applied only if its number is above every number seen before.  One that this node can't take is
+  seen, and calls go on after the one in force: a replica is told of both.
 
 Times are microseconds.  The datagrams in which nodes tell each other their version are encoded here too."""
 
@@ -25,6 +26,7 @@
 SECOND = 1_000 * MS
 PAUSE = 100 * MS  # at most, after an answer; drawn
 BACK_OFF, MOST_BACK_OFF = 100 * MS, SECOND  # doubled by each failure in a row after the second
+AGAIN = 2 * SECOND  # after an answer with a version that was refused before
 PASSED_OVER = 20 * SECOND  # a replica that failed, while another is left
 HEAR_EACH, HEAR_MOST = 8 * MS, 2 * SECOND  # wait before asking on another node's word: for each node, at most
 MOST_FAILURES = 8  # counted; what more there are changes nothing
@@ -70,7 +72,8 @@
 
 
 class Ask(NamedTuple):
-    """A call for a version above `after`; `hold`: the replica may hold it until there is one."""
+    """A call for a version above `after`, the one in force; `hold`: the replica may hold it until there is
+    one."""
 
     replica: int
     after: int
@@ -124,7 +127,7 @@
     # has it answers, and a word that no replica can follow costs no more than usual.
     hold = not (state.hint > state.seen and state.failures < rules.replicas)
     phase = Phase.WATCHING if hold else Phase.ASKING
-    return Step(state._replace(phase=phase, due=0), ask=Ask(state.replica, state.seen, hold))
+    return Step(state._replace(phase=phase, due=0), ask=Ask(state.replica, state.number, hold))
 
 
 def _wake(state: State, rules: Rules, event: Event) -> Step:
@@ -173,10 +176,13 @@
 
 
 def _unfit(state: State, rules: Rules, event: Event) -> Step:
-    """It is not asked for again: every replica would give the same."""
-    if event.number <= state.seen:
+    if event.number < state.seen or event.number == state.number:
         return _failed(state, rules, event)
-    return _rest(state._replace(seen=event.number, failures=0), int(PAUSE * event.random), event)
+    if event.number > state.seen:
+        return _rest(state._replace(seen=event.number, failures=0), int(PAUSE * event.random), event)
+    # Again: of a replica that answers at once whatever this node refused.
+    state = state._replace(failures=0, replica=_next(state, rules, event.now))
+    return _rest(state, int(AGAIN * (0.5 + event.random)), event)
 
 
 def _heard(state: State, rules: Rules, event: Event) -> Step:
