--- a/tests/test_operator.py
+++ b/tests/test_operator.py
@@ -86,6 +86,37 @@
         for text in ('snapshot = "x"', "warm_from_peers = true"):
             self.assertTrue(parse("[restart]\n" + text, "op.toml").restart.keeps)
 
+    def test_replicas_of_the_configuration(self) -> None:
+        self.assertFalse(Operator().configuration.on)
+        told = parse('[configuration]\nreplicas = ["a:1", "b.c:65535"]', "op.toml").configuration
+        self.assertEqual((told.on, told.addresses), (True, [("a", 1), ("b.c", 65535)]))
+        for bad in ('"a"', '"a:0"', '":1"', '"a:65536"', '"a:x"', '"\u00e9:1"', '"a:1", "a:1"'):
+            self.refused(f"[configuration]\nreplicas = [{bad}]", "configuration.replicas: expected ")
+        many = ", ".join(f'"a:{n}"' for n in range(1, 11))
+        self.refused(f"[configuration]\nreplicas = [{many}]", "configuration.replicas: expected at most 9")
+        self.refused("[configuration]\nreplicas = [1]", "configuration.replicas: expected a list of texts")
+        self.refused("[configuration]\nwatch_wait_ms = 99", "from 100 to 60000, not 99")
+
+    def test_what_is_imported_for_the_configuration(self) -> None:
+        """Neither what a snapshot of the memory needs, nor anything of the replicas' own."""
+        code = (
+            "import sys\nfrom violetsaddle.net import lean\nlean.load()\n"
+            "import violetsaddle.__main__ as main\n"
+            "print(main.configuring(main.operated('n')[2]) is not None)\n"
+            "print([m for m in sys.modules if m in ('hashlib', 'ssl', 'sqlite3')"
+            " or m.startswith(('violetsaddle.decide.memory', 'violetsaddle.control'))])"
+        )
+        with tempfile.TemporaryDirectory() as folder:
+            path = written(folder, "on.toml", '[configuration]\nreplicas = ["127.0.0.1:9"]')
+            out = subprocess.run(
+                [sys.executable, "-c", code],
+                capture_output=True,
+                text=True,
+                check=True,
+                env={**os.environ, "RELAY_OPERATOR": path},
+            ).stdout
+        self.assertEqual(out, "True\n[]\n")
+
     def test_files_that_are_none(self) -> None:
         with tempfile.TemporaryDirectory() as folder:
             for path, wanted in (
@@ -315,8 +346,9 @@
         code = (
             "import sys, violetsaddle.__main__\n{}\n"
             "print([m for m in sys.modules if m.partition('.')[0] in ({!r}, 'structlog', 'click')"
-            " or m in ('violetsaddle.net.warmth', 'violetsaddle.net.upgrade', {!r})"
-            " or m.startswith(('violetsaddle.decide.', 'violetsaddle.store'))"
+            " or m in ('violetsaddle.net.warmth', 'violetsaddle.net.upgrade', 'violetsaddle.net.disk', {!r})"
+            " or m.startswith(('violetsaddle.decide.', 'violetsaddle.store', 'violetsaddle.control',"
+            " 'violetsaddle.net.configuration'))"
             " and m != 'violetsaddle.decide.proof'])"
         )
         with tempfile.TemporaryDirectory() as folder:
@@ -327,11 +359,11 @@
                     (
                         "main = violetsaddle.__main__; told = main.operated('n')[2]; "
                         "print(main.keeping(told), "
-                        "main.upgrading(told, None, None))",
+                        "main.upgrading(told, None, None), main.configuring(told))",
                         "",
                         "",
                     ),
-                    "None None\n[]\n",
+                    "None None None\n[]\n",
                 ),
             ):
                 out = subprocess.run(
--- a/violetsaddle/__main__.py
+++ b/violetsaddle/__main__.py
@@ -34,7 +34,7 @@
 from violetsaddle.net.discovery import BadListError, address
 from violetsaddle.net.early import SUCCESSOR
 from violetsaddle.net.limits import Limits
-from violetsaddle.net.node import Config, ConfigError, Keeper, Node, Upgrades, run, unchanged
+from violetsaddle.net.node import Config, ConfigError, Configurer, Keeper, Node, Upgrades, run, unchanged
 from violetsaddle.net.outlet import Outlet
 
 if TYPE_CHECKING:
@@ -98,6 +98,7 @@
         tenants=settings.names(env, "tenants"),
         zones=settings.names(env, "failureDomains"),
         kinds=settings.names(env, "kinds"),
+        settings=env,
     )
 
 
@@ -146,6 +147,16 @@
     return warmth.keeper(told.restart)
 
 
+def configuring(told: Operator | None) -> Callable[[Node], Configurer] | None:
+    """What puts newer settings in force at work; None, and nothing is imported, where the operator file names
+    no replicas of them."""
+    if told is None or not told.configuration.on:
+        return None
+    from violetsaddle.net import configuration
+
+    return configuration.configurer(told.configuration)
+
+
 def main(
     listener: socket | None = None,
     step: Callable[[str], None] = lambda point: None,
@@ -165,7 +176,9 @@
         print(f"violetsaddle: {error}".replace("\n", " "), file=sys.stderr)
         return 2
     try:
-        return run(config, reread, adjust, log, keeping(told), listener, upgrades, told_early)
+        return run(
+            config, reread, adjust, log, keeping(told), listener, upgrades, told_early, configuring(told)
+        )
     except BadListError as error:
         print(f"violetsaddle: known: {error}".replace("\n", " "), file=sys.stderr)
         return 2
--- a/violetsaddle/net/node.py
+++ b/violetsaddle/net/node.py
@@ -6,7 +6,7 @@
 import signal
 import socket
 from collections.abc import Callable, Mapping, Sequence
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 from typing import Any, Protocol
 
 from twisted.internet.error import CannotListenError
@@ -47,6 +47,7 @@
     peers_all: tuple[str, int] | None
     zones: Sequence[str]
     kinds: Sequence[str]
+    settings: Mapping[str, Any] = field(default_factory=dict)  # as the configuration file holds them
 
 
 class Upgrades(Protocol):
@@ -86,6 +87,22 @@
         """The last request is over; `done` is called once nothing is left to do."""
 
 
+class Configurer(Protocol):
+    """Puts newer settings in force while the node works, by `Node.reconfigure`."""
+
+    def begin(self) -> None:
+        """The known list has been taken in; nothing is accepted yet."""
+
+    def follow(self) -> None:
+        """The node works: asks for newer settings from now on."""
+
+    def meet(self, peers: Peers) -> None:
+        """Peers can be heard and told; called after the keeper's."""
+
+    def stop(self) -> None:
+        """The last request is over."""
+
+
 class Node:
     """One node: its parts, wired together, and their life from the first list to the end after SIGTERM."""
 
@@ -99,9 +116,10 @@
         clock: Clock | None = None,
         decider: Decider = Balancer,
         keep: Callable[[Node], Keeper] | None = None,
+        configure: Callable[[Node], Configurer] | None = None,
     ) -> None:
-        """`adjust`, `log` and `keep` are what an operator file asks for; without a clock it is the
-        machine's."""
+        """`adjust`, `log`, `keep` and `configure` are what an operator file asks for; without a clock it is
+        the machine's."""
         clock = self.clock = clock or SystemClock()
         self.reactor, self.config, self._reread = reactor, config, reread
         self.limits = adjust(Limits.of(config.told, config.sockets))
@@ -155,6 +173,7 @@
         self._paused = False  # another process of this node accepts
         self._saving = False  # the keeper has still something to do
         self.keeper = keep(self) if keep is not None else None
+        self.configurer = configure(self) if configure is not None else None
         self._stopping = self._closing = self._finishing = self._ended = False
         self.guest: Callable[[], bool] = lambda: False  # another process's requests still need our listener
         self.moved = False  # discovery is where the configuration says, whatever the environment told
@@ -168,6 +187,8 @@
             self.discovery.take(self.config.known, api.DISK)
         if self.keeper is not None:
             self.keeper.recall()
+        if self.configurer is not None:
+            self.configurer.begin()
         self._join(None)
         self.meet()
         if listener is None:
@@ -184,6 +205,8 @@
         open from the start.  Else the module asks for it in its time."""
         if not self.config.told.must_ask:
             self.discovery.watch()
+        if self.configurer is not None:
+            self.configurer.follow()
 
     def adopt(
         self, listener: socket.socket, datagrams: socket.socket | None, known: Any, paused: bool
@@ -192,6 +215,8 @@
         until `resume`, what comes is another process's."""
         if known or self.config.known:
             self.discovery.take(known or self.config.known, api.DISK)
+        if self.configurer is not None:
+            self.configurer.begin()
         self._join(datagrams)
         port = self.reactor.adoptStreamPort(listener.fileno(), listener.family, self.edge)
         if paused:
@@ -202,9 +227,18 @@
         self._follow()
 
     def meet(self) -> None:
-        """Peers can be heard: whoever keeps what was learned may ask them."""
-        if self.keeper is not None and self._peers is not None:
-            self.keeper.meet(self._peers)
+        """Peers can be heard: whoever keeps what was learned may ask them, and whoever knows of newer
+        settings may tell them."""
+        if self._peers is not None:
+            if self.keeper is not None:
+                self.keeper.meet(self._peers)
+            if self.configurer is not None:
+                self.configurer.meet(self._peers)
+
+    def reconfigure(self, told: api.Settings) -> None:
+        """Other settings for requests that come from now on; raises `SettingsError` where they differ in what
+        can't change at work."""
+        self.requests.reconfigure(told)
 
     def _join(self, datagrams: socket.socket | None) -> None:
         if self.config.peer_listen is not None and self.config.told.may_tell:
@@ -357,6 +391,8 @@
         self._finishing = True
         self.requests.when_idle = self.edge.when_gone = None
         self.discovery.stop()
+        if self.configurer is not None:
+            self.configurer.stop()
         if self._port is not None:
             self._port.stopListening()
             self._port = None
@@ -397,6 +433,7 @@
     listener: socket.socket | None = None,
     upgrades: Callable[[Reactor, Node], Upgrades] | None = None,
     told_early: Callable[[], bool] = lambda: False,
+    configure: Callable[[Node], Configurer] | None = None,
 ) -> int:
     """Runs a node until it ends and gives the program's status; `listener`: see `Node.start`; `upgrades`:
     None where they are off; `told_early`: whether the program was told to end before it could."""
@@ -406,7 +443,7 @@
     from twisted.internet import reactor
 
     gc.enable()  # the program's imports are done
-    node = Node(reactor, config, reread, adjust, log, keep=keep)
+    node = Node(reactor, config, reread, adjust, log, keep=keep, configure=configure)
     observer: Any = node.observe  # its interface is declared in a way that type checkers can't read
     globalLogBeginner.beginLoggingTo([observer], redirectStandardIO=False, discardBuffer=True)
     running: Reactor = reactor
--- a/violetsaddle/operator.py
+++ b/violetsaddle/operator.py
@@ -21,6 +21,7 @@
 MOST_BYTES = 1 << 20  # of an operator file
 HOUR_MS = 3_600_000
 MINUTE_MS = 60_000
+MOST_REPLICAS = 9
 KIB = 1024
 MIB = 1024 * KIB
 
@@ -123,6 +124,34 @@
             raise Mismatch("silence_s", "expected 0 or at least 5, longer than a quiet watch lasts")
 
 
+class Configuration(Struct, frozen=True, forbid_unknown_fields=True):
+    """`[configuration]`: from where a node takes newer settings at work; off by default."""
+
+    replicas: tuple[str, ...] = ()  # "host:port" of each; none: off
+    snapshot: Annotated[str, Meta(max_length=4000)] = ""  # file that keeps the newest version; "": none
+    watch_wait_ms: Annotated[int, Meta(ge=100, le=MINUTE_MS)] = 2500
+    watch_grace_ms: Annotated[int, Meta(ge=50, le=5000)] = 500
+    gossip_every_ms: Annotated[int, Meta(ge=100, le=MINUTE_MS)] = 2000
+    gossip_peers: Annotated[int, Meta(ge=0, le=16)] = 4  # 0: peers are told nothing
+
+    def __post_init__(self) -> None:
+        if len(self.replicas) > MOST_REPLICAS or len(set(self.replicas)) < len(self.replicas):
+            raise Mismatch("replicas", f"expected at most {MOST_REPLICAS}, each once")
+        for text in self.replicas:
+            host, _, port = text.rpartition(":")
+            if not host or not (host + port).isascii() or not port.isdigit() or not 0 < int(port) < 65536:
+                raise Mismatch("replicas", f'expected "host:port", not {_short(text)}')
+
+    @property
+    def on(self) -> bool:
+        return bool(self.replicas)
+
+    @property
+    def addresses(self) -> list[tuple[str, int]]:
+        pairs = [text.rpartition(":") for text in self.replicas]
+        return [(host, int(port)) for host, _, port in pairs]
+
+
 class Operator(Struct, frozen=True, forbid_unknown_fields=True):
     """A whole operator file, a field a section."""
 
@@ -130,6 +159,7 @@
     limits: Limits = Limits()
     restart: Restart = Restart()
     recovery: Recovery = Recovery()
+    configuration: Configuration = Configuration()
 
     def limits_for(self, limits: NodeLimits) -> NodeLimits:
         """`limits` with what the file changes.  `server_idle` and `dial` only get shorter than the settings'
@@ -221,6 +251,7 @@
         msgspec.inspect.BoolType: "true or false",
         msgspec.inspect.StructType: "a table",
         msgspec.inspect.ListType: "a list",
+        msgspec.inspect.VarTupleType: "a list of texts",
     }
     return words.get(type(kind), "another type")
 
