--- a/tests/test_capacity.py
+++ b/tests/test_capacity.py
@@ -22,7 +22,7 @@
 from violetsaddle.lab import experiment
 from violetsaddle.lab.capacity import report, sizes, starts, sweep
 from violetsaddle.lab.capacity.fit import fit
-from violetsaddle.lab.capacity.process import NodeDied, RealNode
+from violetsaddle.lab.capacity.process import NodeDiedError, RealNode
 from violetsaddle.lab.capacity.world import Row, settings
 
 SUBSET = 16  # nodes that hear of an executor
@@ -160,7 +160,7 @@
             finally:
                 await node.end()
 
-    with pytest.raises(NodeDied, match="peer_listen: "):
+    with pytest.raises(NodeDiedError, match="peer_listen: "):
         asyncio.run(start())
 
 
--- a/violetsaddle/cli/lab.py
+++ b/violetsaddle/cli/lab.py
@@ -799,7 +799,7 @@
     """Plays with progress; ends the command where a child died or it was interrupted."""
     from violetsaddle.lab.capacity import sweep as points
     from violetsaddle.lab.capacity.hollow import HollowError
-    from violetsaddle.lab.capacity.process import NodeDied
+    from violetsaddle.lab.capacity.process import NodeDiedError
 
     total = sum(map(len, points.batches(plan)))
     with _bar() as progress:
@@ -814,6 +814,6 @@
             return points.sweep(plan, tree, see)
         except KeyboardInterrupt:
             sys.exit(INTERRUPTED)
-        except (NodeDied, HollowError, TimeoutError, OSError) as error:
+        except (NodeDiedError, HollowError, TimeoutError, OSError) as error:
             _tell(f"violetsaddle lab: capacity: {type(error).__name__}: {error}")
             sys.exit(VOID)
--- a/violetsaddle/lab/capacity/clients.py
+++ b/violetsaddle/lab/capacity/clients.py
@@ -48,6 +48,7 @@
     def __init__(
         self, traffic: Traffic, node: int, port: int, classes: Sequence[str], tenants: Sequence[str]
     ) -> None:
+        """`port` is the node's; requests take `classes` and `tenants` in turn."""
         self._traffic, self._node, self._port = traffic, node, port
         self._classes, self._tenants = classes, tenants
         self._loop = asyncio.get_running_loop()
@@ -59,6 +60,7 @@
         self._timer: asyncio.TimerHandle | None = None
 
     def answered(self, status: int) -> None:
+        """Counts an answer; status 0: the connection ended without one."""
         if status == 200:
             self._traffic.served += 1
         elif status in (429, 503):
@@ -106,6 +108,7 @@
             await asyncio.sleep(TICK)
 
     def close(self) -> None:
+        """Ends all connections."""
         self.closing = True
         for line in list(self.lines):
             line.transport.abort()
--- a/violetsaddle/lab/capacity/discovery.py
+++ b/violetsaddle/lab/capacity/discovery.py
@@ -69,6 +69,7 @@
     has been taken in."""
 
     def __init__(self, traffic: Traffic, entries: Sequence[Entry]) -> None:
+        """`entries`: the list as version 1."""
         self.traffic, self.entries = traffic, list(entries)
         self.loop = asyncio.get_running_loop()
         self.version = 1
@@ -89,10 +90,12 @@
         return int(self._server.sockets[0].getsockname()[1])
 
     def close(self) -> None:
+        """Stops listening."""
         if self._server is not None:
             self._server.close()
 
     def called(self, watch: _Watch) -> None:
+        """A call has come on this connection."""
         self.traffic.watch_calls += 1
         self.traffic.watch_out_bytes += watch.size
         self._held[watch] = watch.after
--- a/violetsaddle/lab/capacity/executors.py
+++ b/violetsaddle/lab/capacity/executors.py
@@ -52,6 +52,7 @@
     """One hollow executor; `node` is the node at which its jobs came, by the id's node number."""
 
     def __init__(self, home: HollowExecutors, name: str) -> None:
+        """`name`: the executor's id on the list."""
         self.home, self.name = home, name
         self._waiting: dict[int, deque[bytes]] = {}
         self._callers: dict[int, _Caller | None] = {}
@@ -75,6 +76,7 @@
         self.call(job, Call(job, self.name, "done", result="ok"))
 
     def give_up(self, job: str) -> None:
+        """Stops a job, if it runs; nothing is told of it."""
         timer = self.running.pop(job, None)
         if timer is not None:
             timer.cancel()
@@ -100,6 +102,7 @@
         self._callers[node] = caller
 
     def close(self) -> None:
+        """Ends its jobs and its connections to nodes."""
         for timer in self.running.values():
             timer.cancel()
         self.running.clear()
@@ -154,6 +157,7 @@
         progress: float,
         spawn: Callable[[Any], None],
     ) -> None:
+        """`spawn` runs a coroutine; `slots` is what load reports show."""
         self.traffic, self.runs, self.progress, self.spawn = traffic, runs, progress, spawn
         self.loop = asyncio.get_running_loop()
         self.report = b"x0=%d" % slots
@@ -179,6 +183,7 @@
         return found
 
     def close(self) -> None:
+        """Ends all executors and the connections to them."""
         for server in self._servers:
             server.close()
         for executor in self.executors:
--- a/violetsaddle/lab/capacity/fit.py
+++ b/violetsaddle/lab/capacity/fit.py
@@ -31,6 +31,7 @@
     points: list[Point]
 
     def at(self, value: float) -> float:
+        """The line's value at a size."""
         return self.intercept + self.slope * value
 
 
--- a/violetsaddle/lab/capacity/hollow.py
+++ b/violetsaddle/lab/capacity/hollow.py
@@ -39,6 +39,7 @@
         return Traffic(*(getattr(self, f) - getattr(earlier, f) for f in self.__struct_fields__))
 
     def copy(self) -> Traffic:
+        """A copy that stays as it is."""
         return msgspec.structs.replace(self)
 
     @property
@@ -64,10 +65,12 @@
         self.size = 0
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        """Keeps the connection's transport."""
         assert isinstance(transport, asyncio.Transport)
         self.transport = transport
 
     def data_received(self, data: bytes) -> None:
+        """Cuts what has come into messages."""
         self.size += len(data)
         for message in self._reader.feed(data):
             self.message(message)
--- a/violetsaddle/lab/capacity/peers.py
+++ b/violetsaddle/lab/capacity/peers.py
@@ -28,6 +28,7 @@
     """The peers of node 0 in a tier of so many nodes."""
 
     def __init__(self, traffic: Traffic, nodes: int, executors: int, zones: int, seed: int) -> None:
+        """`nodes`: of the tier, the measured one included; `seed` draws what peers tell."""
         self._traffic, self._nodes, self._executors, self._zones = traffic, nodes, executors, zones
         self._loop = asyncio.get_running_loop()
         self._random = Random(seed)
@@ -51,6 +52,7 @@
         return ports
 
     def close(self) -> None:
+        """Ends all sockets; nothing is told any more."""
         self._to = None
         for made in self._sockets.values():
             self._loop.remove_reader(made.fileno())
--- a/violetsaddle/lab/capacity/process.py
+++ b/violetsaddle/lab/capacity/process.py
@@ -20,7 +20,7 @@
 KB = 1024
 
 
-class NodeDied(Exception):
+class NodeDiedError(Exception):
     """A node has ended unasked; the text tells its process id, status and last lines."""
 
 
@@ -55,6 +55,8 @@
 
 
 class RealNode:
+    """A real node as a child process."""
+
     def __init__(self, number: int, folder: Path, tree: str = "") -> None:
         """`folder` holds its configuration file; `tree`: a checkout whose program is started."""
         self.number, self._folder, self._tree = number, folder, tree
@@ -68,11 +70,12 @@
 
     @property
     def pid(self) -> int:
+        """Of the running child."""
         assert self._process is not None
         return self._process.pid
 
     async def start(self, configuration: dict[str, Any], sockets: int) -> None:
-        """Returns once it listens; raises `NodeDied`, `TimeoutError`."""
+        """Returns once it listens; raises `NodeDiedError`, `TimeoutError`."""
         path = self._folder / f"node{self.number}.json"
         path.write_bytes(msgspec.json.encode(configuration))
         self._process = await children.spawn(
@@ -86,14 +89,16 @@
         self.port = await asyncio.wait_for(asyncio.shield(self._listening), START_SECONDS)
 
     async def _read(self) -> None:
-        """Takes in its log, until it ends; raises `NodeDied` unless that was asked for."""
+        """Takes in its log, until it ends; raises `NodeDiedError` unless that was asked for."""
         assert self._process is not None and self._process.stderr is not None
         while line := await self._process.stderr.readline():
             self._heard(line.decode("utf-8", "replace").rstrip())
         status = await self._process.wait()
         if not self._ending:
             last = " | ".join(list(self.log)[-3:])
-            died = NodeDied(f"node {self.number} (process {self.pid}) ended with status {status}: {last}")
+            died = NodeDiedError(
+                f"node {self.number} (process {self.pid}) ended with status {status}: {last}"
+            )
             if not self._listening.done():
                 self._listening.set_exception(died)
             raise died
@@ -105,23 +110,25 @@
                 self._listening.set_result(int(found[1]))
         elif ": peer_listen: " in line:
             if not self._listening.done():  # it would serve without its peers
-                self._listening.set_exception(NodeDied(f"node {self.number} (process {self.pid}): {line}"))
+                self._listening.set_exception(
+                    NodeDiedError(f"node {self.number} (process {self.pid}): {line}")
+                )
         elif ": counters " in line:
             pairs = (word.split("=") for word in line.partition(": counters ")[2].split())
             if self._counters is not None and not self._counters.done():
                 self._counters.set_result({name: int(value) for name, value in pairs})
 
     async def died(self) -> None:
-        """Returns never while it runs; raises `NodeDied` once it has ended unasked."""
+        """Returns never while it runs; raises `NodeDiedError` once it has ended unasked."""
         assert self._reading is not None
         await asyncio.shield(self._reading)
 
     def usage(self) -> Usage:
-        """Raises `NodeDied` where it has gone."""
+        """Raises `NodeDiedError` where it has gone."""
         try:
             return usage(self.pid)
         except (OSError, KeyError) as error:
-            raise NodeDied(f"node {self.number} (process {self.pid}): {error}") from None
+            raise NodeDiedError(f"node {self.number} (process {self.pid}): {error}") from None
 
     async def counters(self) -> dict[str, int]:
         """Its own counts, as SIGUSR1 makes it show them; raises `TimeoutError`."""
--- a/violetsaddle/lab/capacity/report.py
+++ b/violetsaddle/lab/capacity/report.py
@@ -92,6 +92,7 @@
 
 
 def decode(data: bytes) -> Result:
+    """The JSON's content; raises `msgspec.DecodeError`."""
     return msgspec.json.decode(data, type=Result)
 
 
--- a/violetsaddle/lab/capacity/sizes.py
+++ b/violetsaddle/lab/capacity/sizes.py
@@ -171,6 +171,7 @@
 
     @classmethod
     def here(cls) -> Machine:
+        """What this machine and process have."""
         with open("/proc/meminfo") as file:
             kilobytes = next(int(line.split()[1]) for line in file if line.startswith("MemTotal:"))
         return cls(kilobytes * 1024, resource.getrlimit(resource.RLIMIT_NOFILE)[1])
--- a/violetsaddle/lab/capacity/sweep.py
+++ b/violetsaddle/lab/capacity/sweep.py
@@ -40,6 +40,7 @@
 
 
 def distinct(plan: Plan) -> Iterator[tuple[str, float, Sizes]]:
+    """The plan's points, one that sweeps share once."""
     seen: set[Sizes] = set()
     for key, value, sizes in plan.points():
         if sizes not in seen:
@@ -86,7 +87,7 @@
 
 
 def sweep(plan: Plan, tree: str = "", progress: Progress = lambda key, value, done: None) -> list[Row]:
-    """All rows of the plan, in its order.  Raises `NodeDied`, `HollowError`, `TimeoutError`,
+    """All rows of the plan, in its order.  Raises `NodeDiedError`, `HollowError`, `TimeoutError`,
     `KeyboardInterrupt`; no process that it started is left then."""
     lift_descriptors()
     rows: list[Row] = []
--- a/violetsaddle/lab/capacity/world.py
+++ b/violetsaddle/lab/capacity/world.py
@@ -66,6 +66,7 @@
 
     @property
     def agrees(self) -> bool:
+        """Whether they differ by no more than what may be on its way."""
         slack = self.away + max(SLACK_COUNT, SLACK_SHARE * self.outside)
         return abs(self.outside - self.own) <= slack
 
@@ -84,6 +85,7 @@
 
     @property
     def agrees(self) -> bool:
+        """Whether all checks do."""
         return all(check.agrees for check in self.checks)
 
 
@@ -191,7 +193,9 @@
             asyncio.get_running_loop().call_exception_handler(context)
 
     async def play(self, key: str, value: float, run: int) -> list[Row]:
-        """Plays one run and ends all that it started; raises `NodeDied`, `HollowError`, `TimeoutError`."""
+        """Plays one run and ends all that it started.
+
+        Raises `NodeDiedError`, `HollowError`, `TimeoutError`."""
         try:
             await self._start_parties()
             await self._start_nodes()
