--- a/tests/test_configuration_node.py
+++ b/tests/test_configuration_node.py
@@ -361,8 +361,17 @@
 class Tier:
     """Several nodes that hear each other; datagrams may be lost on their way."""
 
-    def __init__(self, test: unittest.TestCase, count: int, operators: list[str], lossy: float = 0.0) -> None:
-        self.test, self.count, self.lossy = test, count, lossy
+    def __init__(
+        self,
+        test: unittest.TestCase,
+        count: int,
+        operators: list[str],
+        lossy: float = 0.0,
+        strange: dict[int, dict[str, Any]] | None = None,
+    ) -> None:
+        """`operators`: a file for each node; `lossy`: the share of datagrams that are lost; `strange`:
+        permissions that differ at some nodes."""
+        self.test, self.count, self.lossy, self.strange = test, count, lossy, strange or {}
         self.folder = tempfile.TemporaryDirectory()
         test.addCleanup(self.folder.cleanup)
         self.random, self.over, self.passed, self.lost = random.Random(3), Event(), 0, 0
@@ -382,7 +391,8 @@
         peers = [
             self.places[n] if n == number else address(self.between[n, number]) for n in range(self.count)
         ]
-        settings = {**TIER, "siblings": self.count, "ordinal": number}
+        settings: dict[str, Any] = {**TIER, "siblings": self.count, "ordinal": number}
+        settings["permissions"] = {**settings["permissions"], **self.strange.get(number, {})}
         config = {
             "name": f"n{number}",
             "listen": "127.0.0.1:0",
