--- a/violetsaddle/__main__.py
+++ b/violetsaddle/__main__.py
@@ -51,6 +51,7 @@
 
 
 def whole(table: dict[str, Any], key: str, default: int) -> int:
+    """A whole number above 0 of a table; raises `ConfigError`."""
     value = table.get(key, default)
     if isinstance(value, bool) or not isinstance(value, int) or value < 1:
         raise ConfigError(f"{key}: must be a whole number above 0, not {value!r}")
@@ -103,6 +104,7 @@
 
 
 def reread() -> Config:
+    """The configuration after SIGHUP; raises `ConfigError`."""
     try:
         return read(again=True)
     except SettingsError as error:
--- a/violetsaddle/decide/document.py
+++ b/violetsaddle/decide/document.py
@@ -27,6 +27,7 @@
     `expected`: what should be there.  The text is one line of both."""
 
     def __init__(self, key: str, expected: str) -> None:
+        """`key` is cut to 120 characters and made printable."""
         self.key = "".join(c if c.isprintable() else ascii(c)[1:-1] for c in key[:120])
         self.expected = expected
         super().__init__(f"{self.key}: expected {expected}" if key else f"expected {expected}")
--- a/violetsaddle/decide/subscription.py
+++ b/violetsaddle/decide/subscription.py
@@ -37,6 +37,8 @@
 
 
 class Phase(enum.Enum):
+    """What a node waits for."""
+
     RESTING = "resting"  # no call is out
     WATCHING = "watching"  # one is out that the replica may hold
     ASKING = "asking"  # one is out that is to be answered at once
@@ -44,6 +46,8 @@
 
 
 class Word(enum.Enum):
+    """What happens to a subscription."""
+
     WAKE = "the time `State.due` has come"
     NEWER = "an answer with a version that is fit"
     UNFIT = "an answer with a version that this node can't take"
@@ -61,6 +65,8 @@
 
 
 class State(NamedTuple):
+    """Of one node's subscription; a value."""
+
     phase: Phase
     number: int  # of the version in force
     seen: int  # the highest number that was taken or refused
@@ -91,6 +97,8 @@
 
 
 class Event(NamedTuple):
+    """What came with a word."""
+
     now: int
     random: float  # from 0 to below 1
     number: int  # of `NEWER`, `UNFIT`, `ANSWERED` and `HEARD`
@@ -112,6 +120,7 @@
 
 
 def step(state: State, rules: Rules, word: Word, now: int, random: float, number: int = 0) -> Step:
+    """The next state, and what is to be done for it."""
     transition = TABLE[state.phase].get(word)
     return Step(state) if transition is None else transition(state, rules, Event(now, random, number))
 
--- a/violetsaddle/gossip_codec.py
+++ b/violetsaddle/gossip_codec.py
@@ -30,6 +30,7 @@
 
 
 def word(mark: int, jobs: int, ill: bool, wide: bool) -> bytes:
+    """One word; more jobs than `MOST_JOBS` are told as so many."""
     value = (mark if wide else mark & NARROW_MARK) << 5 | ill << 4 | min(jobs, MOST_JOBS)
     return value.to_bytes(3 if wide else 2, "big")
 
--- a/violetsaddle/operator.py
+++ b/violetsaddle/operator.py
@@ -34,10 +34,11 @@
     """The operator file can't be used; the text is one line with file, key and what was expected."""
 
 
-class Mismatch(ValueError):
+class MismatchError(ValueError):
     """Two keys of a section don't fit; msgspec hands it on as the cause of its own error."""
 
     def __init__(self, key: str, expected: str) -> None:
+        """`key`: of the section; `expected`: what the file's reader is told."""
         super().__init__(f"{key}: {expected}")
         self.key, self.expected = key, expected
 
@@ -84,6 +85,7 @@
     farewell_ms: Ms = NodeLimits.farewell // MS
 
     def __post_init__(self) -> None:
+        """Raises `MismatchError`."""
         for low, high in (
             ("edge_settled_ms", "edge_first_ms"),
             ("linger_ms", "keep_asking_ms"),
@@ -92,7 +94,7 @@
         ):
             least, value = getattr(self, low), getattr(self, high)
             if value < least:
-                raise Mismatch(high, f"expected at least {low} ({least}), not {value}")
+                raise MismatchError(high, f"expected at least {low} ({least}), not {value}")
 
 
 class Restart(Struct, frozen=True, forbid_unknown_fields=True):
@@ -120,8 +122,9 @@
     silence_s: Annotated[float, Meta(ge=0, le=3600)] = 0.0  # of discovery, after which refusals count; 0: off
 
     def __post_init__(self) -> None:
+        """Raises `MismatchError`."""
         if 0 < self.silence_s < 5:
-            raise Mismatch("silence_s", "expected 0 or at least 5, longer than a quiet watch lasts")
+            raise MismatchError("silence_s", "expected 0 or at least 5, longer than a quiet watch lasts")
 
 
 class Configuration(Struct, frozen=True, forbid_unknown_fields=True):
@@ -135,19 +138,22 @@
     gossip_peers: Annotated[int, Meta(ge=0, le=16)] = 4  # 0: peers are told nothing
 
     def __post_init__(self) -> None:
+        """Raises `MismatchError`."""
         if len(self.replicas) > MOST_REPLICAS or len(set(self.replicas)) < len(self.replicas):
-            raise Mismatch("replicas", f"expected at most {MOST_REPLICAS}, each once")
+            raise MismatchError("replicas", f"expected at most {MOST_REPLICAS}, each once")
         for text in self.replicas:
             host, _, port = text.rpartition(":")
             if not host or not (host + port).isascii() or not port.isdigit() or not 0 < int(port) < 65536:
-                raise Mismatch("replicas", f'expected "host:port", not {_short(text)}')
+                raise MismatchError("replicas", f'expected "host:port", not {_short(text)}')
 
     @property
     def on(self) -> bool:
+        """Whether any replica is named."""
         return bool(self.replicas)
 
     @property
     def addresses(self) -> list[tuple[str, int]]:
+        """Hosts and ports of the replicas, in the order of the file."""
         pairs = [text.rpartition(":") for text in self.replicas]
         return [(host, int(port)) for host, _, port in pairs]
 
@@ -230,7 +236,7 @@
     try:
         msgspec.convert(value, kind)
     except msgspec.ValidationError as error:
-        if isinstance(error.__cause__, Mismatch):
+        if isinstance(error.__cause__, MismatchError):
             return f"{path}.{error.__cause__.key}: {error.__cause__.expected}"
         return f"{path}: expected {_describe(msgspec.inspect.type_info(kind))}, not {_short(value)}"
     return None
--- a/violetsaddle/policy.py
+++ b/violetsaddle/policy.py
@@ -66,6 +66,7 @@
     __slots__ = ()
 
     def take(self, now: int, amount: float) -> bool:
+        """Whether so many slots may be taken now; a bucket without a rate yet lets everything through."""
         self.fill(now)
         if self.rate is None:
             return True
@@ -104,6 +105,7 @@
 
 
 def shares_of(told: api.Settings) -> list[float]:
+    """Each tenant's part of the fleet, of 1.0 in all."""
     shares = sum(t.share for t in told.tenants) or 1.0
     return [t.share / shares for t in told.tenants]
 
@@ -112,12 +114,14 @@
     """Estimate of the slots a microsecond that the whole fleet can serve."""
 
     def __init__(self, told: api.Settings) -> None:
+        """`told`: says whether reports show free slots."""
         self.by_reports = "free_slots" in told.report
         self.most_free: dict[int, float] = {}  # by machine kind: each worker is seen too rarely at full size
         self.slot_time, self.slots, self.pace = 0.0, 0.0, 1.0
         self.rate: float | None = None
 
     def ran(self, slots: float, time: int) -> None:
+        """A job has run: its slots, and for how long (microseconds)."""
         self.slot_time = self.slot_time * RUN_MEMORY + slots * time
         self.slots = self.slots * RUN_MEMORY + slots
 
@@ -143,6 +147,7 @@
     """The decisions of one scheduler; its public methods are the events."""
 
     def __init__(self, told: api.Settings, seed: int, now: int, act: api.Actions) -> None:
+        """`now`: microseconds; the first wake is armed at once."""
         super().__init__(act)
         self.told = told
         self.random = Random(seed).random
@@ -702,6 +707,7 @@
                 self._after(now, 3 * self.told.progress_every, self._check, (job, number, request.deadline))
 
     def stream_began(self, now: int, job: str, number: int) -> None:
+        """The answer of an attempt streams: nothing else may be sent."""
         request = self.requests.get(job)
         if request is not None:
             request.streams = True
@@ -802,5 +808,6 @@
             self._hold(now, request, RETRY_WAIT << min(tries - 2, 4))
 
     def probed(self, now: int, worker_id: int, ok: bool, report: api.Report | None) -> None:
+        """A probe's end; `report` is passed over where it failed."""
         if ok and report and (worker := self.workers.get(worker_id)) is not None:
             self._report(now, worker, report)
--- a/violetsaddle/state.py
+++ b/violetsaddle/state.py
@@ -30,10 +30,12 @@
     __slots__ = ("rate", "burst", "tokens", "at")
 
     def __init__(self, now: int, burst: float, tokens: float) -> None:
+        """`burst`, `tokens`: slots; what it holds at most, and now."""
         self.rate: float | None = None  # tokens a microsecond
         self.burst, self.tokens, self.at = burst, tokens, now
 
     def fill(self, now: int) -> None:
+        """Accrues up to `now` at the present rate."""
         if self.rate is not None:
             self.tokens = min(self.burst, self.tokens + (now - self.at) * self.rate)
         self.at = now
@@ -45,16 +47,19 @@
     __slots__ = ("items", "place", "top")
 
     def __init__(self) -> None:
+        """Without workers."""
         self.items: list[Worker] = []
         self.place: dict[int, int] = {}
         self.top = 0.0  # no weight in the pool is larger
 
     def add(self, worker: Worker) -> None:
+        """Not for one that is in the pool already."""
         self.place[worker.id] = len(self.items)
         self.items.append(worker)
         self.top = max(self.top, worker.weight)
 
     def discard(self, worker: Worker) -> None:
+        """Only for one that is in the pool."""
         at, last = self.place.pop(worker.id), self.items.pop()
         if last is not worker:
             self.items[at] = last
@@ -95,6 +100,7 @@
     )
 
     def __init__(self, entry: api.Entry) -> None:
+        """As the list names it."""
         self.id, self.zone, self.cell, self.kind, self.weight, self.started, self.state = entry
         self.mark, self.key = mix(self.id, 2) & 0xFFFF, mix(self.id, 3)  # mark: its name among schedulers
         self.errors, self.ill_until, self.relapses = 0.0, 0, 0  # share of errors among its last outcomes
@@ -111,9 +117,12 @@
 
 
 class Attempt:
+    """One attempt of a request, with the worker's place as it was sent."""
+
     __slots__ = ("number", "worker", "cell", "zone", "sent", "started", "out", "late", "may_have_run")
 
     def __init__(self, number: int, worker: Worker, now: int) -> None:
+        """Sent at `now`."""
         self.number, self.worker = number, worker
         self.cell, self.zone, self.sent, self.started = worker.cell, worker.zone, now, 0
         self.out, self.may_have_run, self.late = True, True, False
@@ -148,6 +157,7 @@
         self.out, self.over, self.streams = 0, False, False
 
     def tried(self, worker: Worker) -> bool:
+        """Whether an earlier attempt went to this worker."""
         return any(a.worker.id == worker.id for a in self.attempts)  # back on the list it is another object
 
 
@@ -155,6 +165,7 @@
     """Calls that are due at a time, with what they are about; the nearest time is armed."""
 
     def __init__(self, act: api.Actions) -> None:
+        """`act`: is asked to arm the nearest time."""
         self.act = act
         self.timers: list[tuple[int, int, Any, Any]] = []
         self.timer_number, self.armed = 0, 0
