--- a/tests/test_control.py
+++ b/tests/test_control.py
@@ -862,7 +862,7 @@
             try:
                 addresses = [f"127.0.0.1:{before.port}", *ground.addresses("c1")]
                 done.append(client.write(addresses, text, "ann", 0, PATIENCE, time.monotonic))
-            except (client.Failed, client.BadInput) as error:
+            except (client.FailedError, client.InputError) as error:
                 done.append(error)
 
         real = client.call
--- a/violetsaddle/cli/config.py
+++ b/violetsaddle/cli/config.py
@@ -42,10 +42,10 @@
     """Ends the program with its status: 1 where nothing was written for sure, 2 where the input is bad."""
     try:
         status = work()
-    except client.BadInput as error:
+    except client.InputError as error:
         click.echo(f"violetsaddle: {_plain(error)}", err=True)
         status = 2
-    except client.Failed as error:
+    except client.FailedError as error:
         click.echo(f"violetsaddle: {_plain(error)}", err=True)
         status = 1
     sys.exit(status)
@@ -108,7 +108,7 @@
                 with open(file, "rb") as opened:
                     data = opened.read(MOST_BYTES + 1)
         except (OSError, ValueError) as error:
-            raise client.BadInput(f"{file}: {getattr(error, 'strerror', None) or error}") from None
+            raise client.InputError(f"{file}: {getattr(error, 'strerror', None) or error}") from None
         document = client.checked(data)
         begun = time.monotonic()
         done = client.write(replicas, document, author or _author(), base, wait, time.monotonic)
@@ -129,13 +129,13 @@
             client.endpoint(address)
         found = client.newest(replicas)
         if "document" not in found:
-            raise client.Failed("nothing was pushed yet: each node runs its own configuration file")
+            raise client.FailedError("nothing was pushed yet: each node runs its own configuration file")
         try:
             at = datetime.fromtimestamp(float(found["time_ms"]) / 1000, UTC).isoformat(timespec="seconds")
             head = f"version {found['number']}, digest {found['digest']}, by {found['author']} at {at}"
             document = str(found["document"])
         except (KeyError, TypeError, ValueError, OverflowError, OSError) as error:
-            raise client.Failed(f"the answer can't be read: {error!r}") from None
+            raise client.FailedError(f"the answer can't be read: {error!r}") from None
         click.echo(_plain(head), err=True)
         click.echo(document, nl=not document.endswith("\n"))
         return 0
@@ -172,7 +172,7 @@
             _replica(one)
         good = [one for one in told if not one.wrong]
         if not good:
-            raise client.Failed("no replica answers")
+            raise client.FailedError("no replica answers")
         number = max(one.number for one in good)
         found = client.rollout(told, number)
         for name in found.running:
--- a/violetsaddle/control/client.py
+++ b/violetsaddle/control/client.py
@@ -20,28 +20,32 @@
 Clock = Callable[[], float]
 
 
-class BadInput(Exception):
+class InputError(Exception):
     """What was given can't be used; one line says why."""
 
 
-class Failed(Exception):
+class FailedError(Exception):
     """No version was written, or not surely; one line says why."""
 
 
-class Unreachable(Exception):
+class UnreachableError(Exception):
     """No answer that can be read."""
 
 
 class Reply(NamedTuple):
+    """A replica's answer; `body`: its JSON object."""
+
     status: int
     body: dict[str, Any]
 
     @property
     def error(self) -> str:
+        """The error's name, which programs go by."""
         return str(self.body.get("error", f"status {self.status}"))
 
     @property
     def text(self) -> str:
+        """The error's text, for people."""
         return str(self.body.get("text", f"status {self.status}"))
 
 
@@ -81,15 +85,15 @@
 
 
 def endpoint(text: str) -> tuple[str, int]:
-    """`host:port`; raises `BadInput`."""
+    """`host:port`; raises `InputError`."""
     host, _, port = text.rpartition(":")
     if not host or not port.isascii() or not port.isdigit() or not 0 < int(port) < 65536:
-        raise BadInput(f"{text}: expected host:port")
+        raise InputError(f"{text}: expected host:port")
     return host, int(port)
 
 
 def call(address: str, method: str, path: str, body: bytes | None = None, wait: float = ASK) -> Reply:
-    """One request; raises `Unreachable`."""
+    """One request; raises `UnreachableError`."""
     host, port = endpoint(address)
     line = http.client.HTTPConnection(host, port, timeout=wait)
     try:
@@ -101,7 +105,7 @@
         return Reply(answer.status, read)
     except (OSError, http.client.HTTPException, ValueError, RecursionError) as error:
         why = getattr(error, "strerror", None) or str(error) or type(error).__name__
-        raise Unreachable(f"{address}: {' '.join(why.split())[:200]}") from None
+        raise UnreachableError(f"{address}: {' '.join(why.split())[:200]}") from None
     finally:
         line.close()
 
@@ -121,7 +125,7 @@
             tuple(dict(p) for p in told["peers"]),
             tuple({**n, "number": int(n["number"]), "name": str(n["name"])} for n in told["nodes"]),
         )
-    except Unreachable as error:
+    except UnreachableError as error:
         return Status(address, wrong=str(error))
     except (KeyError, TypeError, ValueError) as error:
         return Status(address, wrong=f"{address}: its status can't be read: {error!r}"[:200])
@@ -158,20 +162,22 @@
 
 
 def checked(data: bytes) -> str:
-    """A document's text; raises `BadInput` where it is no JSON object or too long."""
+    """A document's text; raises `InputError` where it is no JSON object or too long."""
     if len(data) > MOST_BYTES:
-        raise BadInput(f"the document is longer than {MOST_BYTES} bytes: {len(data)}")
+        raise InputError(f"the document is longer than {MOST_BYTES} bytes: {len(data)}")
     try:
         text = data.decode("utf-8")
         read = json.loads(text, parse_constant=_constant)
     except (ValueError, RecursionError) as error:
-        raise BadInput(f"not JSON: {' '.join(str(error).split())[:200]}") from None
+        raise InputError(f"not JSON: {' '.join(str(error).split())[:200]}") from None
     if not isinstance(read, dict):
-        raise BadInput("expected a JSON object")
+        raise InputError("expected a JSON object")
     return text
 
 
 class Accepted(NamedTuple):
+    """A version that was accepted, and by which replica it was told."""
+
     number: int
     digest: str
     replica: str
@@ -182,11 +188,11 @@
 ) -> Accepted:
     """Has a document follow version `base`, or the newest; tried at each replica in turn, for up to `wait`
     seconds.  A try whose end is not known may be repeated: the same author's same document after the same
-    base is one write.  Raises `BadInput` or `Failed`."""
+    base is one write.  Raises `InputError` or `FailedError`."""
     told = statuses(addresses)
     good = [status for status in told if not status.wrong]
     if not good:
-        raise Failed("no replica answers: " + "; ".join(status.wrong for status in told))
+        raise FailedError("no replica answers: " + "; ".join(status.wrong for status in told))
     if base is None:
         base = max(status.number for status in good)
     good.sort(key=lambda status: (status.state != "voting", -status.number))
@@ -200,20 +206,22 @@
             try:
                 reply = call(status.address, "POST", "/configuration", body, WRITE)
                 error, said = reply.error, f"{status.replica}: {reply.text}"
-            except Unreachable as broken:
+            except UnreachableError as broken:
                 reply, error, said = Reply(503, {}), "unreachable", str(broken)
             if reply.status == 200:
                 return Accepted(int(reply.body["number"]), str(reply.body["digest"]), status.replica)
             if reply.status == 409:
                 more = "; an earlier try of this write may have taken effect before" if unsure else ""
-                raise Failed(f"conflict: version {reply.body.get('number')} is the newest, not {base}{more}")
+                raise FailedError(
+                    f"conflict: version {reply.body.get('number')} is the newest, not {base}{more}"
+                )
             if reply.status in (400, 413, 422):
                 key = reply.body.get("key")
-                raise BadInput(f"refused: {f'{key}: ' if key else ''}{reply.text}")
+                raise InputError(f"refused: {f'{key}: ' if key else ''}{reply.text}")
             unsure = unsure or error in ("undecided", "unreachable")
             again = again or error in AGAIN
         if not again or clock() >= until:
-            raise Failed(said + ("; it may still take effect: see `config show`" if unsure else ""))
+            raise FailedError(said + ("; it may still take effect: see `config show`" if unsure else ""))
         time.sleep(PAUSE)
 
 
@@ -231,17 +239,17 @@
 
 
 def newest(addresses: Sequence[str]) -> dict[str, Any]:
-    """The newest version that any replica serves, with its document if there is one.  Raises `Failed`."""
+    """The newest version that any replica serves, with its document if any.  Raises `FailedError`."""
     good = [status for status in statuses(addresses) if not status.wrong]
     good.sort(key=lambda status: -status.number)
     wrong = "no replica answers"
     for status in good:
         try:
             reply = call(status.address, "GET", "/configuration?after=0")
-        except Unreachable as error:
+        except UnreachableError as error:
             wrong = str(error)
             continue
         if reply.status == 200:
             return reply.body
         wrong = f"{status.replica}: {reply.text}"
-    raise Failed(wrong)
+    raise FailedError(wrong)
--- a/violetsaddle/control/driver.py
+++ b/violetsaddle/control/driver.py
@@ -40,13 +40,20 @@
 
 
 class Disk(Protocol):
-    def write(self, state: bytes, version: Row | None = None) -> None: ...
+    """What outlives the process; see `Store`, whose errors its methods raise."""
 
-    def version(self, number: int) -> Row | None: ...
+    def write(self, state: bytes, version: Row | None = None) -> None:
+        """Durable as it returns, all or nothing."""
+
+    def version(self, number: int) -> Row | None:
+        """A committed version; None: it is not held."""
 
 
 class Link(Protocol):
-    def send(self, body: bytes) -> None: ...
+    """The way to one other replica."""
+
+    def send(self, body: bytes) -> None:
+        """Takes a message; it may be lost without a word."""
 
 
 Written = Callable[[Exception | None], None]
@@ -57,8 +64,9 @@
 
     __slots__ = ("number", "at", "lost")
 
-    def __init__(self, now: int) -> None:
-        self.number, self.at, self.lost = 0, -1, False  # `at`: -1: nothing heard yet
+    def __init__(self) -> None:
+        """`at`: of its last message, -1: nothing heard yet; `lost`: nothing for `LOST_AFTER`."""
+        self.number, self.at, self.lost = 0, -1, False
 
 
 class Driver:
@@ -88,7 +96,7 @@
         self.trouble = ""  # why the disk could not be written last
         self._failures = 0  # of writing
         self._begun = deadlines.now()
-        self._seen = {name: Seen(self._begun) for name in links}
+        self._seen = {name: Seen() for name in links}
         self._encoder = msgspec.json.Encoder()
         self._decoder = msgspec.json.Decoder(Envelope)
         self.on_commit: Callable[[], None] = lambda: None
@@ -97,6 +105,7 @@
     # What the server asks for.
 
     def newest(self) -> Newest:
+        """The newest committed version."""
         return self._newest
 
     def write(self, write: Write, done: Done) -> None:
@@ -136,6 +145,7 @@
         return True
 
     def status(self, nodes: list[Node]) -> bytes:
+        """What this replica knows, as JSON."""
         now = self._deadlines.now()
         return self._encoder.encode(
             {
@@ -157,11 +167,13 @@
 
     @property
     def state(self) -> str:
+        """`starting`, `recovering` or `voting`."""
         return str(self._state.status.value)
 
     # Its life.
 
     def start(self) -> None:
+        """Says hello to the others, and goes on from there."""
         self._give(messages.Started())
         self._deadlines.after(TICK, self._tick)
 
--- a/violetsaddle/control/node_registry.py
+++ b/violetsaddle/control/node_registry.py
@@ -33,6 +33,7 @@
     """Times are microseconds on one clock that only goes forward."""
 
     def __init__(self) -> None:
+        """Nobody is heard yet."""
         self._nodes: dict[str, _Told] = {}  # the one heard last at the end
 
     def heard(self, name: str, number: int, refused: int, why: str, now: int) -> None:
--- a/violetsaddle/control/run.py
+++ b/violetsaddle/control/run.py
@@ -37,6 +37,7 @@
 
 
 def replica_name(text: str, key: str) -> str:
+    """A name that may stand in messages and logs; `key` names it in errors.  Raises `ArgumentError`."""
     if (
         not 0 < len(text) <= MOST_NAME
         or not all(c.isalnum() or c in "-_." for c in text)
@@ -47,7 +48,7 @@
 
 
 def endpoint(text: str, key: str, least: int = 1) -> tuple[str, int]:
-    """`host:port`; `least`: the lowest port."""
+    """`host:port`; `least`: the lowest port.  Raises `ArgumentError`."""
     host, _, port = text.rpartition(":")
     if not host or not (port.isascii() and port.isdigit()) or not least <= int(port) < 65536:
         raise ArgumentError(f"{key}: expected host:port, not {text[:80]!r}")
@@ -55,7 +56,7 @@
 
 
 def endpoints(name: str, peers: Sequence[str]) -> dict[str, tuple[str, int]]:
-    """Where the other two are, by name."""
+    """Where the other two are, by name.  Raises `ArgumentError`."""
     found: dict[str, tuple[str, int]] = {}
     for peer in peers:
         of, mark, at = peer.partition("=")
@@ -68,7 +69,7 @@
 
 
 def baseline(path: str) -> dict[str, Any]:
-    """Version 0: what all nodes' settings have in common."""
+    """Version 0: what all nodes' settings have in common.  Raises `ArgumentError`."""
     try:
         with open(path, encoding="utf-8") as file:
             table = json.load(file)
--- a/violetsaddle/control/server.py
+++ b/violetsaddle/control/server.py
@@ -32,6 +32,8 @@
 
 
 class Answer(NamedTuple):
+    """An HTTP answer: its status, and JSON."""
+
     status: int
     body: bytes = b""
 
@@ -56,10 +58,11 @@
     whole: bytes
 
 
-class Bad(Exception):
+class BadRequestError(Exception):
     """A request that is answered at once with one clear error."""
 
     def __init__(self, status: int, error: str, text: str) -> None:
+        """`error`: its name, for programs; `text`: for people."""
         super().__init__(text)
         self.answer = refusal(status, error, text)
 
@@ -67,7 +70,8 @@
 class Service(Protocol):
     """What stands behind the server."""
 
-    def newest(self) -> Newest: ...
+    def newest(self) -> Newest:
+        """The newest committed version."""
 
     def write(self, write: Write, done: Done) -> None:
         """Calls `done` once, now or later."""
@@ -75,7 +79,8 @@
     def message(self, body: bytes) -> bool:
         """Takes in another replica's message; False: it is none."""
 
-    def status(self, nodes: list[Node]) -> bytes: ...
+    def status(self, nodes: list[Node]) -> bytes:
+        """What is known of replicas and these nodes, as JSON."""
 
 
 def refusal(status: int, error: str, text: str, **more: object) -> Answer:
@@ -96,18 +101,20 @@
 
 
 def whole(query: dict[str, str], key: str, most: int) -> int:
-    """A number from 0 on; 0 where it is not given.  Raises `Bad`."""
+    """A number from 0 on; 0 where it is not given.  Raises `BadRequestError`."""
     text = query.get(key, "0")
     if not (text.isascii() and text.isdigit() and len(text) <= 16 and int(text) <= most):
-        raise Bad(400, "query", f"{key}: expected a whole number from 0 to {most}, not {text[:40]!r}")
+        raise BadRequestError(
+            400, "query", f"{key}: expected a whole number from 0 to {most}, not {text[:40]!r}"
+        )
     return int(text)
 
 
 def name(query: dict[str, str], key: str) -> str:
-    """A name without control characters; "" where it is not given.  Raises `Bad`."""
+    """A name without control characters; "" where it is not given.  Raises `BadRequestError`."""
     text = query.get(key, "")
     if len(text) > MOST_NAME or not text.isprintable():
-        raise Bad(400, "query", f"{key}: expected a name of at most {MOST_NAME} characters")
+        raise BadRequestError(400, "query", f"{key}: expected a name of at most {MOST_NAME} characters")
     return text
 
 
@@ -117,6 +124,7 @@
     transport: Transport
 
     def __init__(self, home: ControlFactory) -> None:
+        """`home`: what it shares with all others."""
         self._home, self._limits = home, home.limits
         self._parser = http.Parser(home.limits, MOST_BODY)
         self._awaited = False  # an answer is owed
@@ -132,6 +140,7 @@
 
     @property
     def idle(self) -> bool:
+        """It owes no answer, and no part of a request has come."""
         return not self._awaited and not self._parser.held and not self._closing
 
     @property
@@ -140,12 +149,14 @@
         return self._closing
 
     def connectionMade(self) -> None:
+        """The first request is waited for."""
         self.transport.setTcpNoDelay(True)
         self._home.connections[self] = None
         self._home.counters.add("connections")
         self._wait(self._limits.edge_first)
 
     def connectionLost(self, reason: Failure = connectionDone) -> None:
+        """A watch on it ends without an answer."""
         self._lost = True
         self._patience.end()
         self._home.connections.pop(self, None)
@@ -164,11 +175,13 @@
             self._answer(refusal(408, "late", "the request did not come whole in time"), last=True)
 
     def abort(self) -> None:
+        """Ends at once, whatever is owed."""
         self._closing = True
         self._home.connections.pop(self, None)
         self.transport.abortConnection()
 
     def dataReceived(self, data: bytes) -> None:
+        """Never raises: what can't be read is answered, and a fault of ours ends the connection."""
         if self._closing:
             return  # read and passed over, so that no reset overtakes the answer
         try:
@@ -212,12 +225,12 @@
         allowed, method = METHODS.get(path), message.start[0]
         try:
             if allowed is None:
-                raise Bad(404, "path", "there is nothing at this path")
+                raise BadRequestError(404, "path", "there is nothing at this path")
             if method not in allowed.split(", "):
                 self._answer(refusal(405, "method", f"only {allowed} here"), allow=allowed)
             elif path == "/replica":
                 if not self._home.service.message(bytes(message.body)):
-                    raise Bad(400, "message", "no message of another replica")
+                    raise BadRequestError(400, "message", "no message of another replica")
                 self._answer(Answer(204))
             elif path == "/configuration/status":
                 nodes = self._home.registry.nodes(self._home.deadlines.now())
@@ -226,7 +239,7 @@
                 self._home.watches.open(self, dict(parse_qsl(query, keep_blank_values=True)))
             else:
                 self._home.write(bytes(message.body), self.answer)
-        except Bad as error:
+        except BadRequestError as error:
             self._answer(error.answer)
 
     def answer(self, answer: Answer) -> None:
@@ -270,6 +283,7 @@
     __slots__ = ("connection", "after", "node", "late")
 
     def __init__(self, connection: ControlConnection, after: int, node: str) -> None:
+        """`node`: who watches, "" for nobody in particular."""
         self.connection, self.after, self.node = connection, after, node
         self.late: Deadline | None = None
 
@@ -278,14 +292,16 @@
     """All open watches."""
 
     def __init__(self, home: ControlFactory) -> None:
+        """`home`: whose connections they are on."""
         self._home = home
         self._open: dict[Watch, None] = {}
 
     def __len__(self) -> int:
+        """Those that wait."""
         return len(self._open)
 
     def open(self, connection: ControlConnection, query: dict[str, str]) -> None:
-        """Answers at once or later; raises `Bad`."""
+        """Answers at once or later; raises `BadRequestError`."""
         after, wait = whole(query, "after", MOST_NUMBER), min(whole(query, "wait_ms", 1 << 40), MOST_WAIT_MS)
         refused, node = whole(query, "refused", MOST_NUMBER), name(query, "node")
         # Only shown: a node must not miss a version because of a key's name.
@@ -345,6 +361,7 @@
     noisy = False
 
     def __init__(self, service: Service, limits: Limits, deadlines: Deadlines, counters: Counters) -> None:
+        """`service`: answers what is asked."""
         self.service, self.limits, self.deadlines, self.counters = service, limits, deadlines, counters
         self.registry = NodeRegistry()
         self.watches = Watches(self)
@@ -353,6 +370,7 @@
         self._writes = 0
 
     def buildProtocol(self, addr: IAddress | None) -> ControlConnection | None:
+        """A connection that has come; None turns it away."""
         if not self._room():
             self.counters.add("connections_refused")
             return None
@@ -375,11 +393,11 @@
         return True
 
     def write(self, body: bytes, answer: Done) -> None:
-        """A writer's document; raises `Bad`."""
+        """A writer's document; raises `BadRequestError`."""
         self.counters.add("writes")
         try:
             write = self._read(body)
-        except Bad:
+        except BadRequestError:
             self.counters.add("writes_refused")
             raise
         self._writes += 1
@@ -407,15 +425,17 @@
         try:
             write = msgspec.json.decode(body, type=Write)
         except (msgspec.DecodeError, ValueError, RecursionError) as error:
-            raise Bad(400, "json", f"not a version to write: {error}"[:300]) from None
+            raise BadRequestError(400, "json", f"not a version to write: {error}"[:300]) from None
         if len(write.document.encode("utf-8", "surrogatepass")) > MOST_BYTES:
-            raise Bad(413, "long", f"the document is longer than {MOST_BYTES} bytes")
+            raise BadRequestError(413, "long", f"the document is longer than {MOST_BYTES} bytes")
         if not 0 <= write.base <= MOST_NUMBER:
-            raise Bad(400, "json", f"base: expected a whole number from 0 to {MOST_NUMBER}")
+            raise BadRequestError(400, "json", f"base: expected a whole number from 0 to {MOST_NUMBER}")
         if not write.author or len(write.author) > MOST_NAME or not write.author.isprintable():
-            raise Bad(400, "json", f"author: expected a name of 1 to {MOST_NAME} characters")
+            raise BadRequestError(400, "json", f"author: expected a name of 1 to {MOST_NAME} characters")
         if self._writes >= MOST_WRITES:
-            raise Bad(503, "busy", f"{MOST_WRITES} writes are under way at this replica: try again")
+            raise BadRequestError(
+                503, "busy", f"{MOST_WRITES} writes are under way at this replica: try again"
+            )
         return write
 
     def close(self) -> None:
--- a/violetsaddle/control/store.py
+++ b/violetsaddle/control/store.py
@@ -60,6 +60,7 @@
     thread, one at a time; each raises `StoreError`."""
 
     def __init__(self, path: str, name: str, step: Step = no_step) -> None:
+        """Opens the file, or makes it; `step` is told of each step of a write."""
         self.path, self.name, self._step, self._lock = path, name, step, Lock()
         self._base: sqlite3.Connection | None = None
         try:
--- a/violetsaddle/control/transport.py
+++ b/violetsaddle/control/transport.py
@@ -70,6 +70,7 @@
     def __init__(
         self, reactor: Reactor, deadlines: Deadlines, limits: Limits, counters: Counters, host: str, port: int
     ) -> None:
+        """Nothing is dialled before there is a message."""
         self._reactor, self.limits, self.counters = reactor, limits, counters
         self._host, self._port = host, port
         self._waiting: deque[bytes] = deque(maxlen=WAITING)
@@ -116,6 +117,7 @@
                 self.down(None)
 
     def up(self, line: _Line) -> None:
+        """The connection has come up."""
         self._dialling, self._line = False, line
         if self._ended:
             line.transport.loseConnection()
