A replica that holds no call is not asked without rest; answers of any kind are searched

A replica that is closing or has no room answers a watch at once: a node asked again after 50 ms in the mean. It rests 0.5 to 1.5 s after a call that came back within half of the time for which it might have been held. Bodies of any kind are an answer or a BadAnswerError (400 drawn ones).

--- a/tests/test_configuration_node.py
+++ b/tests/test_configuration_node.py
@@ -20,11 +20,15 @@
 from threading import Event, Thread
 from typing import Any
 
+from hypothesis import given
+from hypothesis import settings as examples
+from hypothesis import strategies as st
+
 from tests.replica import Replica
 from tests.scenario import PATIENCE, SETTINGS, Scenario, address, datagrams, listener
 from violetsaddle.decide.document import baseline_of, digest
 from violetsaddle.decide.subscription import encode
-from violetsaddle.net.configuration import Version, packed, unpacked
+from violetsaddle.net.configuration import BadAnswerError, Version, packed, parsed, unpacked
 from violetsaddle.store.files import DamagedError
 
 BOUND = 8.0  # seconds
@@ -566,6 +570,47 @@
             """)
 
 
+class Answers(unittest.TestCase):
+    """Whatever a replica says is an answer or a `BadAnswerError`."""
+
+    GOOD = {"number": 3, "digest": digest("{}"), "author": "ann", "time_ms": 1, "document": "{}"}
+
+    @examples(max_examples=400, deadline=None, derandomize=True)
+    @given(
+        st.one_of(
+            st.binary(max_size=40),
+            st.recursive(
+                st.none() | st.booleans() | st.integers() | st.floats() | st.text(max_size=3),
+                lambda inner: st.lists(inner, max_size=3) | st.dictionaries(st.text(max_size=3), inner),
+                max_leaves=5,
+            ).map(lambda value: json.dumps(value).encode()),
+            st.tuples(
+                st.sampled_from([*GOOD]),
+                st.none() | st.booleans() | st.integers() | st.floats() | st.text(max_size=3) | st.just([]),
+            ).map(lambda change: json.dumps({**Answers.GOOD, change[0]: change[1]}).encode()),
+            st.integers(0, 200).map(lambda cut: json.dumps(Answers.GOOD).encode()[:cut]),
+        )
+    )
+    def test_no_body_raises_anything_else(self, body: bytes) -> None:
+        try:
+            answer = parsed(200, body)
+        except BadAnswerError:
+            return
+        self.assertTrue(0 <= answer.number <= 0xFFFFFFFF)
+        if answer.version is not None:
+            self.assertEqual(digest(answer.version.document), answer.version.digest)
+            self.assertEqual(unpacked(packed(answer.version)), answer.version)
+
+    def test_a_good_one(self) -> None:
+        answer = parsed(200, json.dumps(self.GOOD).encode())
+        self.assertEqual((answer.number, answer.version), (3, Version(3, digest("{}"), "ann", "{}")))
+        self.assertEqual(parsed(200, b'{"number": 0, "digest": ""}').number, 0)
+        for status in (204, 404, 503):
+            self.assertRaises(BadAnswerError, parsed, status, json.dumps(self.GOOD).encode())
+        for deep in (b"[" * 100_000, b'{"number":' * 50_000):
+            self.assertRaises(BadAnswerError, parsed, 200, deep)
+
+
 class Snapshots(unittest.TestCase):
     def test_every_damage_is_found(self) -> None:
         text = document()
--- a/tests/test_subscription.py
+++ b/tests/test_subscription.py
@@ -17,6 +17,7 @@
     MOST_FAILURES,
     PASSED_OVER,
     PAUSE,
+    QUICK,
     SECOND,
     TABLE,
     Ask,
@@ -74,7 +75,7 @@
 
     def test_no_order_of_words_goes_back(self) -> None:
         for replicas in (1, 2, 3):
-            rules = Rules(replicas, 5)
+            rules = Rules(replicas, 5, 2)
             todo = [begin(rules, 1, number, 0) for number in (0, 2)]
             seen, count = set(todo), 0
             while todo:
@@ -106,7 +107,7 @@
 
 class Steps(unittest.TestCase):
     def setUp(self) -> None:
-        self.rules = Rules(3, 100)
+        self.rules = Rules(3, 100, SECOND)
         self.state, self.now = begin(self.rules, 4, 7, 1000), 1000
 
     def do(self, word: Word, number: int = 0, drawn: float = 0.5) -> Step:
@@ -180,6 +181,16 @@
         self.assertIn(1, [*asked, self.state.replica])
         self.assertEqual(set(asked) - {1}, {0, 2}, "each in turn")
 
+    def test_a_replica_that_holds_no_call_is_not_asked_without_rest(self) -> None:
+        self.do(Word.WAKE)
+        self.now += SECOND // 2 - 1
+        self.do(Word.ANSWERED, 7)
+        self.assertEqual((self.state.due - self.now, self.state.failures), (QUICK, 0))
+        self.wait()
+        self.now += SECOND // 2
+        self.do(Word.ANSWERED, 7)
+        self.assertLessEqual(self.state.due - self.now, PAUSE)
+
     def test_a_replica_that_is_behind(self) -> None:
         self.do(Word.WAKE)
         self.do(Word.ANSWERED, 6)
@@ -212,8 +223,8 @@
 
     def test_the_wait_is_bounded(self) -> None:
         for nodes, most in ((2, 2 * HEAR_EACH), (10_000, HEAR_MOST)):
-            state = begin(Rules(3, nodes), 0, 0, 5)._replace(phase=Phase.WATCHING, due=0)
-            state = step(state, Rules(3, nodes), Word.HEARD, 5, 0.999999, 1).state
+            state = begin(Rules(3, nodes, SECOND), 0, 0, 5)._replace(phase=Phase.WATCHING, due=0)
+            state = step(state, Rules(3, nodes, SECOND), Word.HEARD, 5, 0.999999, 1).state
             self.assertTrue(5 + 0.9 * most < state.due <= 5 + most)
 
     def test_the_end(self) -> None:
@@ -244,7 +255,7 @@
 
     def delay(self, draw: random.Random, wrong: set[int], behind: bool) -> int:
         """How long after its commit one node has a version, though replicas are silent or do not get it."""
-        replicas, rules = Replicas(), Rules(3, 40)
+        replicas, rules = Replicas(), Rules(3, 40, self.WATCH)
         state, now = begin(rules, draw.randrange(40), 0, 1), 1
         commit, ends, word, number = draw.randrange(30 * SECOND), 0, Word.FAILED, 0
         replicas.silent = set() if behind else wrong
--- a/violetsaddle/decide/subscription.py
+++ b/violetsaddle/decide/subscription.py
@@ -26,6 +26,9 @@
 SECOND = 1_000 * MS
 PAUSE = 100 * MS  # at most, after an answer; drawn
 BACK_OFF, MOST_BACK_OFF = 100 * MS, SECOND  # doubled by each failure in a row after the second
+QUICK = (
+    SECOND  # after a call that might have been held and was not, as by a replica that has no room for more
+)
 AGAIN = 2 * SECOND  # after an answer with a version that was refused before
 PASSED_OVER = 20 * SECOND  # a replica that failed, while another is left
 HEAR_EACH, HEAR_MOST = 8 * MS, 2 * SECOND  # wait before asking on another node's word: for each node, at most
@@ -58,10 +61,11 @@
 
 
 class Rules(NamedTuple):
-    """replicas: how many; nodes: of the tier."""
+    """replicas: how many; nodes: of the tier; hold: how long a replica may hold a call."""
 
     replicas: int
     nodes: int
+    hold: int
 
 
 class State(NamedTuple):
@@ -75,6 +79,7 @@
     failures: int = 0  # calls in a row that brought no answer, or an older one
     hint: int = 0  # the highest number that another node told
     passed_over: tuple[int, ...] = ()  # by replica: until when
+    since: int = 0  # when the call that is out was made
 
 
 class Ask(NamedTuple):
@@ -131,23 +136,26 @@
     return next((replica for replica in ring if state.passed_over[replica] <= now), ring[0])
 
 
-def _ask(state: State, rules: Rules) -> Step:
+def _ask(state: State, rules: Rules, event: Event) -> Step:
     # Once each replica was asked in vain for what another node has, they may hold the calls: the first that
     # has it answers, and a word that no replica can follow costs no more than usual.
     hold = not (state.hint > state.seen and state.failures < rules.replicas)
     phase = Phase.WATCHING if hold else Phase.ASKING
-    return Step(state._replace(phase=phase, due=0), ask=Ask(state.replica, state.number, hold))
+    return Step(
+        state._replace(phase=phase, due=0, since=event.now), ask=Ask(state.replica, state.number, hold)
+    )
 
 
 def _wake(state: State, rules: Rules, event: Event) -> Step:
     if not 0 < state.due <= event.now:
         return Step(state)
     if state.phase is Phase.RESTING:
-        return _ask(state, rules)
+        return _ask(state, rules, event)
     # Another node has a newer version, and the replica that is watched does not tell of it.
     if state.hint <= state.seen:
         return Step(state._replace(due=0))
-    return _ask(state._replace(replica=_next(state, rules, event.now)), rules)._replace(abandon=True)
+    state = state._replace(replica=_next(state, rules, event.now))
+    return _ask(state, rules, event)._replace(abandon=True)
 
 
 def _rest(state: State, wait: int, event: Event) -> Step:
@@ -173,8 +181,11 @@
     if event.number != state.seen or state.hint > state.seen:
         return _failed(state, rules, event)
     until = (*state.passed_over[: state.replica], 0, *state.passed_over[state.replica + 1 :])
+    wait = int(PAUSE * event.random)
+    if state.phase is Phase.WATCHING and event.now - state.since < rules.hold // 2:
+        wait = int(QUICK * (0.5 + event.random))
     state = state._replace(failures=0, passed_over=until)
-    return _rest(state._replace(replica=_next(state, rules, event.now)), int(PAUSE * event.random), event)
+    return _rest(state._replace(replica=_next(state, rules, event.now)), wait, event)
 
 
 def _newer(state: State, rules: Rules, event: Event) -> Step:
--- a/violetsaddle/net/configuration.py
+++ b/violetsaddle/net/configuration.py
@@ -160,7 +160,9 @@
         self.version = Version(0, "", "", "")  # in force
         self._random = Random()
         self._addresses = told.addresses
-        self._rules = subscription.Rules(len(self._addresses), config.told.schedulers)
+        self._rules = subscription.Rules(
+            len(self._addresses), config.told.schedulers, told.watch_wait_ms * MS
+        )
         self._state: State | None = None  # None: it has not begun
         self._wake: Deadline | None = None
         self._round = 0  # a call that was abandoned must not speak for the present one
