--- a/violetsaddle/decide/subscription.py
+++ b/violetsaddle/decide/subscription.py
@@ -26,9 +26,7 @@
 SECOND = 1_000 * MS
 PAUSE = 100 * MS  # at most, after an answer; drawn
 BACK_OFF, MOST_BACK_OFF = 100 * MS, SECOND  # doubled by each failure in a row after the second
-QUICK = (
-    SECOND  # after a call that might have been held and was not, as by a replica that has no room for more
-)
+QUICK = SECOND  # after a call that might have been held and was not, as by a replica that has no room
 AGAIN = 2 * SECOND  # after an answer with a version that was refused before
 PASSED_OVER = 20 * SECOND  # a replica that failed, while another is left
 HEAR_EACH, HEAR_MOST = 8 * MS, 2 * SECOND  # wait before asking on another node's word: for each node, at most
