lab capacity: hollow peers of a small tier gather their words as real ones do

At N = 3 a hollow peer sent each start and end in a datagram of its own: 217 heard a second where the node itself told 69 under the same load. Now peers of a tier of up to 17 speak once for what has gathered: 73 and 76 heard beside 66 and 67 told at N = 3, 207 and 203 beside 183 and 190 at N = 17 (two runs of 4 s each).

--- a/violetsaddle/lab/capacity/peers.py
+++ b/violetsaddle/lab/capacity/peers.py
@@ -14,6 +14,7 @@
 RUNNING, STARTS = 5_100, 180.0  # of the operators' tier
 # Of the gossip (`docs/design/circles.md`), written here again so that a fault of the node's can't hide.
 CIRCLE = 16  # nodes that hear of an executor, where there are more than 17
+WORDS_WAIT, WORDS_EACH = 0.02, 0.0025  # seconds that words gather, or so many for each node of a small tier
 MOST_WORDS = 85  # in one datagram
 NARROW = 128  # executors up to which a word takes two bytes
 # Seconds, as measured of real nodes.  A node looks once a second; in a tier without circles, and for words on
@@ -102,9 +103,16 @@
             head = self._head(number)
             told_each = [told[at : at + MOST_WORDS] for at in range(0, len(told), MOST_WORDS)]
             self._every(WORDS_EVERY, number, [head + b"".join(some) for some in told_each])
-        hearers = min(CIRCLE, self._nodes - 1) / self._nodes
-        if rate := 2.0 * STARTS * share * hearers:  # a start and an end
-            self._change(1.0 / rate)
+        changes = 2.0 * STARTS * share  # starts and ends a second, of the whole tier
+        if not changes:
+            return
+        if self.circles:
+            self._change(1.0 / (changes * CIRCLE / self._nodes), None, 1)
+            return
+        # Told to all, and gathered: a peer speaks so long after the first change since it last spoke.
+        wait, own = max(WORDS_WAIT, WORDS_EACH * self._nodes), changes / self._nodes
+        for number in self._sockets:
+            self._change(wait + 1.0 / own, number, round(1 + own * wait))
 
     def _word(self, jobs: int) -> bytes:
         mark = self._random.getrandbits(16 if self._wide else 11)
@@ -136,10 +144,13 @@
 
         self._loop.call_later(seconds * self._random.random(), send)
 
-    def _change(self, every: float) -> None:
+    def _change(self, every: float, peer: int | None, count: int) -> None:
+        """Sends words on starts and ends, so many in a datagram, of one peer or of all in random turn."""
+
         def send() -> None:
-            number = self._random.randrange(1, self._nodes)
-            self._send(number, self._head(number) + self._word(self._random.randrange(2)))
+            number = self._random.randrange(1, self._nodes) if peer is None else peer
+            words = [self._word(self._random.randrange(2)) for _ in range(count)]
+            self._send(number, self._head(number) + b"".join(words))
             if self._to is not None:
                 self._loop.call_later(every * 2 * self._random.random(), send)
 
