First requests of a started node wait until discovery was asked

A zone was lost from 10.2 s on and its 58 nodes started again at 28.2 s with the list of before (known); discovery had told the others of its 27 servers at 13 to 14.6 s. Of 42 sends to those servers between 28 and 30.6 s, 41 came from nodes just started, before their first call to discovery, which is spread over 2 s; each first call was answered, the slowest in 17 ms. Ruled out: calls that failed or were late at these nodes (none of 58), nodes that had run on. Change: where discovery is asked, a node's first request makes it ask at once, and requests wait (looking each 20 ms, 0.5 s at the most) until that call is answered or failed. Nodes without requests still spread their first call over 2 s.

--- a/violetsaddle/policy.py
+++ b/violetsaddle/policy.py
@@ -55,6 +55,7 @@
 RETRY_WAIT, HOLD_WAIT = SECOND // 20, SECOND // 10  # before a second retry, doubled by each; for a worker
 WINDOW_MARGIN = SECOND // 10  # a repeat's last byte leaves so long before the group forgets: it has to arrive
 COLD_SAFETY, WATCH_SPREAD = 0.5, 2 * SECOND  # part of the cold budget used; first subscriptions spread over
+NEVER, START_HOLD, START_LOOK = 1 << 62, SECOND // 2, SECOND // 50  # first requests wait for a list, and look
 WATCH_SOON, WATCH_WAIT = SECOND // 10, SECOND // 2  # after a failed call, doubled by each up to the second,
 WATCH_EACH, WATCH_MOST = SECOND // 10, 5 * SECOND // 4  # or to so long for each scheduler, within the most:
 WATCH_GRACE = 4  # two calls fit into 6 s; where lists are pushed, this part of the drain's grace
@@ -182,6 +183,7 @@
         self.schedulers = told.schedulers
         self.speeds: dict[int, float] = {}  # mean by kind
         self.watch_fails, self.watching = 0, False
+        self.list_due = NEVER if told.must_ask else 0  # until then nothing is sent by an earlier life's list
         self._after(now, int(TICK * (0.5 + self.random())), self._tick, None)
         if told.must_ask:  # a wave of restarts must not stampede discovery
             self._after(now, int(WATCH_SPREAD * self.random()), self._watch, None)
@@ -321,11 +323,11 @@
             most = min(WATCH_MOST, max(WATCH_WAIT, WATCH_EACH * self.told.schedulers))
             most = most if self.told.must_ask else min(WATCH_WAIT, self.told.drain_grace // WATCH_GRACE)
             wait = min(most, WATCH_SOON << min(self.watch_fails, 16))
-            self.watching, self.watch_fails = False, self.watch_fails + 1
+            self.watching, self.watch_fails, self.list_due = False, self.watch_fails + 1, 0
             self._after(now, int(wait * (0.5 + self.random())), self._watch, None)
             return
         if kind != api.DISK:
-            self.watching, self.watch_fails = True, 0
+            self.watching, self.watch_fails, self.list_due = True, 0, 0
         if kind != api.DIFF:
             listed = {e.worker for e in entries}
             for gone in [w for w in self.workers.values() if w.id not in listed]:
@@ -604,6 +606,12 @@
         return min(wait, request.told.most_advice) if request.told.may_advise else 0
 
     def _push(self, now: int, request: Request) -> bool:
+        if now < self.list_due:
+            if self.list_due == NEVER:  # the first request: discovery is asked at once
+                self.list_due = now + START_HOLD
+                self._watch(now, None)
+            self._hold(now, request, START_LOOK)
+            return False
         worker = self._choose(now, request)
         if worker is None:
             if not request.out:
