--- a/tests/test_lab_tool.py
+++ b/tests/test_lab_tool.py
@@ -177,7 +177,7 @@
         with tempfile.TemporaryDirectory() as folder:
             tree = Path(folder) / "violetsaddle"
             tree.mkdir()
-            for name in ("policy.py", "interface.py"):
+            for name in ("policy.py", "state.py", "gossip_codec.py", "interface.py"):
                 (tree / name).write_text((root / "violetsaddle" / name).read_text())
             code = (
                 f"from violetsaddle.lab.experiment import adopt; adopt({folder!r}); import violetsaddle, "
