--- a/Makefile
+++ b/Makefile
@@ -32,6 +32,8 @@
 sites:
 	ln -sf $(abspath $(KIT))/sites/real.json $(abspath $(KIT))/sites/wire.json $(abspath $(KIT))/sites/unlock.txt \
 	    deploy/sites/
+	$(PYTHON) deploy/sites/replace_tenants.py $(KIT)/sites/austin-east.toml deploy/sites/tenants-47.toml \
+	    austin-east-47 > deploy/sites/austin-east-47.toml
 
 clean:
 	rm -rf $(ENV) .mypy_cache .ruff_cache .pytest_cache build violetsaddle.egg-info
