--- a/tests/test_control.py
+++ b/tests/test_control.py
@@ -400,6 +400,55 @@
         self.assertEqual(histories[0], histories[1])
         self.assertEqual([n for n, _ in histories[1]], [1, 2, 3])
 
+    def test_new_left_in_place_does_no_harm(self) -> None:
+        ground = self.begun()
+        self.accepted(ground.write("c0", 0, document(3.0)), 1)
+        self.settled(ground, 1)
+        # With its disk it starts as ever; without, it is no first start, for the others have seen its votes.
+        ground.end("c1")
+        ground.start("c1", new=True)
+        ground.voting("c1")
+        ground.end("c1")
+        ground.put_store("c1", None)
+        ground.end("c0")
+        ground.start("c1", new=True)
+        ground.programs["c1"].says("recovering, version 0")
+        refused = ground.write("c2", 1, document(4.0))
+        self.assertEqual((refused.status, refused.body["error"]), (503, "no_majority"), refused)
+        self.assertFalse([line for line in ground.programs["c1"].lines if ": voting" in line])
+        ground.start("c0", new=True)
+        ground.voting("c0", "c1")
+        self.settled(ground, 1)
+        self.accepted(ground.write("c1", 1, document(4.0)), 2)
+        self.settled(ground, 2)
+
+    def test_two_lost_disks_begin_again_by_the_page(self) -> None:
+        """`docs/configuration.md`: the third serves what it holds; a first start of all, pushes past it."""
+        ground = self.begun()
+        for number in range(2):
+            self.accepted(ground.write("c0", number, document(3.0 + number)), number + 1)
+        self.settled(ground, 2)
+        for name in ("c1", "c2"):
+            ground.end(name)
+            ground.put_store(name, None)
+        ground.start("c1", "c2")
+        for name in ("c1", "c2"):
+            ground.holds(name, 2)  # it can tell them, but not make a majority with them
+        refused = ground.write("c0", 2, document(5.0))
+        self.assertEqual((refused.status, refused.body["error"]), (503, "no_majority"), refused)
+        for name in ("c1", "c2"):
+            self.assertEqual(ground.status(name)["state"], "recovering")
+        status, newest, _ = self.config("show", *self.at(ground, "c0"))
+        self.assertEqual((status, newest), (0, document(4.0) + "\n"))
+        for name in NAMES:
+            ground.end(name, signal.SIGTERM)
+            ground.put_store(name, None)
+        ground.begin()
+        for number in range(3):
+            status, out, err = self.config("push", "-", "--wait=0", *self.at(ground), stdin=newest)
+            self.assertIn(f"version {number + 1} accepted", out, err)
+        self.settled(ground, 3)
+
     def test_a_full_disk_refuses_clearly_and_loses_nothing(self) -> None:
         ground = self.begun()
         self.accepted(ground.write("c0", 0, document(3.0)), 1)
