--- a/violetsaddle/decide/replication_messages.py
+++ b/violetsaddle/decide/replication_messages.py
@@ -90,6 +90,8 @@
 
 
 class Prepare(Struct, frozen=True, tag=True):
+    """Asks to promise a ballot for a number."""
+
     incarnation: int
     sequence: int
     number: int
@@ -107,6 +109,8 @@
 
 
 class Accept(Struct, frozen=True, tag=True):
+    """Asks to accept the version in this ballot."""
+
     incarnation: int
     sequence: int
     ballot: Ballot
@@ -114,6 +118,8 @@
 
 
 class AcceptedVote(Struct, frozen=True, tag=True):
+    """The version of that ballot is accepted, on disk."""
+
     incarnation: int
     sequence: int
     number: int
@@ -130,6 +136,8 @@
 
 
 class Commit(Struct, frozen=True, tag=True):
+    """A majority has accepted it."""
+
     version: Version
 
 
@@ -254,6 +262,8 @@
 
 
 class Received(Struct, frozen=True, tag=True):
+    """A message from a peer; others' are passed over."""
+
     sender: str
     message: Message
 
@@ -289,6 +299,8 @@
 
 
 class Send(Struct, frozen=True, tag=True):
+    """Send a message; it may be lost, doubled or late."""
+
     to: str
     message: Message
 
@@ -302,6 +314,8 @@
 
 
 class Reply(Struct, frozen=True, tag=True):
+    """The answer to `Propose(token)`; at most one each."""
+
     token: int
     result: Result
 
--- a/violetsaddle/decide/replication_state.py
+++ b/violetsaddle/decide/replication_state.py
@@ -13,6 +13,8 @@
 
 
 class Phase(Enum):
+    """Of a round."""
+
     PREPARE = 1
     ACCEPT = 2
     # For the back-off to end, after a Nack or an abandoned ballot.
