lab capacity: a tier of real nodes is refused where its connections do not fit

48 real nodes with the operators' whole load ended in the run with 'Too many open files': each executor keeps a connection for its calls to each node that had its jobs. The check before the run now counts them.

--- a/tests/test_capacity.py
+++ b/tests/test_capacity.py
@@ -238,6 +238,8 @@
     ):
         with pytest.raises(sizes.PlanError, match=wanted):
             sizes.check(plan, machine)
+    with pytest.raises(sizes.PlanError, match="--real-nodes: 48 at base.elsewhere 1 does not fit: about"):
+        sizes.check_real(48, sizes.parse("[base]\nelsewhere = 1\n"), sizes.Machine(1 << 40, 20_000))
     with pytest.raises(sizes.PlanError, match="--real-nodes: 240 does not fit: about"):
         sizes.check_real(240, plan, sizes.Machine(8 << 30, 100_000))
 
--- a/violetsaddle/lab/capacity/peers.py
+++ b/violetsaddle/lab/capacity/peers.py
@@ -10,8 +10,8 @@
 from random import Random
 
 from violetsaddle.lab.capacity.hollow import HOST, Traffic
+from violetsaddle.lab.capacity.sizes import RUNNING, STARTS
 
-RUNNING, STARTS = 5_100, 180.0  # of the operators' tier
 # Of the gossip (`docs/design/circles.md`), written here again so that a fault of the node's can't hide.
 CIRCLE = 16  # nodes that hear of an executor, where there are more than 17
 WORDS_WAIT, WORDS_EACH = 0.02, 0.0025  # seconds that words gather, or so many for each node of a small tier
--- a/violetsaddle/lab/capacity/sizes.py
+++ b/violetsaddle/lab/capacity/sizes.py
@@ -23,6 +23,8 @@
 MEMORY_SHARE = 0.5  # of the machine's memory that may be used
 SPARE_DESCRIPTORS = 256
 MOST_NODES = 240  # real ones
+RUNNING, STARTS = 5_100, 180.0  # tasks and starts a second of the operators' tier
+CALM_SECONDS = 5.0  # that a run takes beside its settling and its window
 
 
 class PlanError(ValueError):
@@ -191,9 +193,19 @@
     """The same for a tier of so many real nodes; raises `PlanError`."""
     if not 2 <= nodes <= MOST_NODES:
         raise PlanError(f"--real-nodes: {nodes} does not fit: from 2 to {MOST_NODES} nodes can be started")
-    sizes = msgspec.structs.replace(plan.base, nodes=nodes)
+    load = plan.base.elsewhere or 1.0
+    sizes = msgspec.structs.replace(plan.base, nodes=nodes, in_flight=int(load * RUNNING / nodes))
     alone = msgspec.structs.replace(plan, together=1)
     _fits(f"--real-nodes: {nodes}", sizes, alone, machine, nodes)
+    # Each executor keeps a connection for its calls to each node that had its jobs, and takes the nodes' own.
+    seconds = CALM_SECONDS + plan.settle + plan.seconds
+    pairs = min(plan.base.executors * nodes, int(load * (RUNNING + seconds * STARTS)))
+    descriptors = plan.base.executors + 2 * pairs + int(load * RUNNING) + SPARE_DESCRIPTORS
+    if descriptors > machine.descriptors:
+        raise PlanError(
+            f"--real-nodes: {nodes} at base.elsewhere {load:g} does not fit: "
+            f"about {descriptors} descriptors, where a process may hold {machine.descriptors}"
+        )
 
 
 def _fits(what: str, sizes: Sizes, plan: Plan, machine: Machine, real: int) -> None:
--- a/violetsaddle/lab/capacity/sweep.py
+++ b/violetsaddle/lab/capacity/sweep.py
@@ -10,8 +10,7 @@
 import msgspec
 
 from violetsaddle.lab.capacity.hollow import watch_faults
-from violetsaddle.lab.capacity.peers import RUNNING, STARTS
-from violetsaddle.lab.capacity.sizes import Plan, Sizes
+from violetsaddle.lab.capacity.sizes import RUNNING, STARTS, Plan, Sizes
 from violetsaddle.lab.capacity.world import Row, World, guarded
 
 Progress = Callable[[str, float, int], None]  # key, value, runs done
