--- a/violetsaddle/lab/capacity/clients.py
+++ b/violetsaddle/lab/capacity/clients.py
@@ -57,7 +57,6 @@
         self.held = 0  # requests sent that stay in flight
         self.closing = False
         self._sent = 0
-        self._timer: asyncio.TimerHandle | None = None
 
     def answered(self, status: int) -> None:
         """Counts an answer; status 0: the connection ended without one."""
--- a/violetsaddle/lab/capacity/peers.py
+++ b/violetsaddle/lab/capacity/peers.py
@@ -35,10 +35,8 @@
         self._random = Random(seed)
         self._sockets: dict[int, socket.socket] = {}
         self._to: tuple[str, int] | None = None
-        self._timers: list[asyncio.TimerHandle] = []
         self.circles = nodes > CIRCLE + 1
         self._wide = executors > NARROW
-        self.told_by_one: dict[int, int] = {}  # datagrams that the node told each peer
 
     def start(self) -> list[int]:
         """Binds a socket for each peer, numbers 1 and up; their ports in order."""
@@ -69,7 +67,6 @@
                 continue  # a datagram of ours came back: the node has ended
             self._traffic.told += 1
             self._traffic.told_bytes += len(data)
-            self.told_by_one[number] = self.told_by_one.get(number, 0) + 1
             if data and data[0] & SENT and data[0] & ASKS:
                 self._send(number, self._head(number))
 
--- a/violetsaddle/lab/capacity/report.py
+++ b/violetsaddle/lab/capacity/report.py
@@ -188,6 +188,7 @@
         xycoords=("axes fraction", "data"),
         color=RED,
         fontsize=7,
+        va="bottom",
     )
     for fit in some:
         sizes = [point.value for point in fit.points]
--- a/violetsaddle/lab/capacity/world.py
+++ b/violetsaddle/lab/capacity/world.py
@@ -164,13 +164,10 @@
     """Nodes 0 up to `real` are real ones, the rest of the tier is hollow; with more than one real node the
     whole tier must be."""
 
-    def __init__(
-        self, plan: Plan, sizes: Sizes, seed: int, tree: str = "", real: int = 1, rates: Sequence[float] = ()
-    ) -> None:
-        """`rates`: for each real node its part of `in_flight` and `starts`, 1 where none is told."""
+    def __init__(self, plan: Plan, sizes: Sizes, seed: int, tree: str = "", real: int = 1) -> None:
+        """`tree`: a checkout whose program the real nodes run, "" for this one."""
         assert real in (1, sizes.nodes)
         self.plan, self.sizes, self._seed, self._tree, self._real = plan, sizes, seed, tree, real
-        self._rates = [*rates, *([1.0] * (real - len(rates)))]
         self.traffic = Traffic()
         self.nodes: list[RealNode] = []
         self._clients: list[HollowClients] = []
@@ -257,12 +254,11 @@
         listed["whole_lists"] = self._discovery.whole_lists
         listed["list_known_ms"] = max(self._discovery.list_seconds, default=0.0) * 1000
         listed["start_cpu_s"] = self.nodes[0].usage().cpu_seconds
-        rated = list(zip(self._clients, self._rates))
-        await asyncio.gather(*(c.hold(round(rate * self.sizes.in_flight)) for c, rate in rated))
+        await asyncio.gather(*(clients.hold(self.sizes.in_flight) for clients in self._clients))
         if self.sizes.starts:
-            await asyncio.gather(*(c.run(WARM_RATE, self.plan.warm) for c in self._clients))
-        for clients, rate in rated:
-            self._spawn(clients.run(rate * self.sizes.starts))
+            await asyncio.gather(*(clients.run(WARM_RATE, self.plan.warm) for clients in self._clients))
+        for clients in self._clients:
+            self._spawn(clients.run(self.sizes.starts))
         await asyncio.sleep(self.plan.settle)
         before = [await self._read(node) for node in self.nodes]
         await asyncio.sleep(self.plan.seconds)
