The lab of changes plays 240 nodes: one socket a node in place of one a pair

Cause: with 240 nodes the run ended at once with 'Too many open files': 57,360 sockets between nodes, 20,000 descriptors allowed. Change: all other nodes reach a node at one address; the sender is known by its own.

--- a/violetsaddle/lab/changes.py
+++ b/violetsaddle/lab/changes.py
@@ -165,22 +165,26 @@
 
 
 class Air(asyncio.DatagramProtocol):
-    """Where one node reaches another; see `lab.live.relay`."""
+    """Where all other nodes reach one node.
+
+    One socket a node, not one a pair: 240 nodes would need 57,360.  The sender is known by its own address,
+    and what it sends goes on from the socket at which it is reached itself, as nodes know their peers."""
 
     transport: asyncio.DatagramTransport
 
-    def __init__(self, run: Run, source: int, to: int) -> None:
-        """From node `source` to node `to`."""
-        self._run, self._source, self._to = run, source, to
+    def __init__(self, run: Run, to: int) -> None:
+        """To node `to`."""
+        self._run, self._to = run, to
 
     def connection_made(self, transport: Any) -> None:
         """It is bound."""
         self.transport = transport
 
     def datagram_received(self, data: bytes, addr: tuple[str | Any, int]) -> None:
-        """From the source; or a stranger's, which goes nowhere."""
+        """From another node; or a stranger's, which goes nowhere."""
         run = self._run
-        if addr != run.places.peer(self._source):
+        source = run.senders.get(addr)
+        if source is None or source == self._to:
             return
         if data[:1] == bytes([GOSSIP]):
             run.gossip += len(data)
@@ -188,7 +192,7 @@
             run.lost += 1
             return
         run.passed += 1
-        run.air[self._to, self._source].transport.sendto(data, run.places.peer(self._to))
+        run.air[source].transport.sendto(data, run.places.peer(self._to))
 
 
 class Child:
@@ -282,7 +286,8 @@
         self.plan, self.places, self.folder = plan, places, folder
         self.chance = random.Random(plan.seed)
         self.begun = time.monotonic()
-        self.air: dict[tuple[int, int], Air] = {}
+        self.air: list[Air] = []  # by the node that is reached there
+        self.senders: dict[tuple[str | Any, int], int] = {}  # nodes by the address that they send from
         self.gossip = self.lost = self.passed = 0
         self.faults: list[str] = []
         self.changes: list[Change] = []
@@ -301,6 +306,10 @@
         """Where a replica listens."""
         return self.places.box(0, number)
 
+    def _reached(self, number: int) -> tuple[str, int]:
+        """Where all other nodes reach a node."""
+        return self.places.relay(0, number)
+
     def _way(self, kind: int, number: int) -> tuple[str, int]:
         return self.places.box(0, 3 + 3 * kind + number)
 
@@ -313,14 +322,13 @@
             await self._to_nodes[number].start(self._way(0, number))
             await self._to_replicas[number].start(self._way(1, number))
         count = self.plan.nodes
-        for source in range(count):
-            for to in range(count):
-                if source != to:
-                    _, air = await loop.create_datagram_endpoint(
-                        lambda source=source, to=to: Air(self, source, to),  # type: ignore[misc]
-                        self.places.relay(source, to),
-                    )
-                    self.air[source, to] = air
+        self.senders = {self.places.peer(number): number for number in range(count)}
+        for number in range(count):
+            _, air = await loop.create_datagram_endpoint(
+                lambda number=number: Air(self, number),  # type: ignore[misc]
+                self._reached(number),
+            )
+            self.air.append(air)
         self.discovery = HollowDiscovery(Traffic(), [])
         self._discovery_port = await self.discovery.start()
         self._settings = {**SETTINGS, "siblings": count}
@@ -363,7 +371,7 @@
             "discovery": f"127.0.0.1:{self._discovery_port}",
             "known": {"version": 1, "full": True, "servers": []},
             "peer_listen": _text(own),
-            "peers": [_text(own if n == number else places.relay(number, n)) for n in range(count)],
+            "peers": [_text(own if n == number else self._reached(n)) for n in range(count)],
             "settings": {**self._settings, "ordinal": number},
         }
         ways = ", ".join(f'"{_text(self._way(0, n))}"' for n in range(3))
@@ -381,7 +389,7 @@
                 await child.end(signal.SIGKILL)
         for way in (*self._to_nodes, *self._to_replicas):
             way.close()
-        for air in self.air.values():
+        for air in self.air:
             air.transport.close()
         if hasattr(self, "discovery"):
             self.discovery.close()
