A replica that stood still catches up with few messages

Each message that waited for a replica which missed earlier versions made it ask for the next one, and each answer, repeats too, asked for the one after: every waiting message fetched all that was missing. Change: a version that is held already asks for nothing more; one that is newer still does, and a heartbeat starts the fetch again where an answer was lost.

--- a/tests/test_replication.py
+++ b/tests/test_replication.py
@@ -512,3 +512,32 @@
     low = new_replica("c0", ("c1",), m.Durable(incarnation=(3 << 32) | 0xFFFFFFFF, whole=True), 0)
     assert low.durable.incarnation == 4 << 32
     assert replace(low, nonce=5).durable.incarnation == 4 << 32
+
+
+def test_one_that_stood_still_catches_up_with_few_messages() -> None:
+    """Many messages wait for it, the first of all missing; each once began a fetch of all that it missed."""
+    writes = 40
+    cluster, held = Cluster(), []
+
+    def hold(sender: str, to: str, message: Any) -> bool:
+        if to == "c2":
+            held.append((sender, to, message))
+        return to == "c2"
+
+    for number in range(writes):
+        cluster.write("c0", number, number, f"document {number}")
+        cluster.run(lost=hold)
+    assert cluster.number("c0") == writes and cluster.number("c2") == 0 and len(held) >= 3 * writes
+    passed = 0
+
+    def count(sender: str, to: str, message: Any) -> bool:
+        nonlocal passed
+        passed += 1
+        return False
+
+    waiting = held[len(held) // 4 :]
+    cluster.sent = list(waiting)
+    cluster.run(lost=count)
+    assert cluster.number("c2") == writes
+    assert sorted(cluster.history["c2"]) == list(range(1, writes + 1))
+    assert passed <= 4 * len(waiting)
--- a/violetsaddle/decide/replication.py
+++ b/violetsaddle/decide/replication.py
@@ -392,6 +392,9 @@
     # What is committed.
 
     def learn(self, sender: str, version: Version, newest: int) -> None:
+        if version.number <= self.disk.number:
+            # A repeat asks for nothing more: many of them would each fetch all that is missing.
+            return
         if version.number == self.disk.number + 1:
             self.commit(version)
         self.behind(sender, newest)
