--- a/violetsaddle/lab/changes_beside.py
+++ b/violetsaddle/lab/changes_beside.py
@@ -98,7 +98,7 @@
 
 
 class Changes(threading.Thread):
-    """Pushes documents until told to stop: the first tenant's share, every class's aim, permission to cancel."""
+    """Pushes documents until told to stop: a tenant's share, all aims, permission to cancel."""
 
     def __init__(self, addresses: list[str], day: Day, every: float) -> None:
         """`every`: seconds between two changes."""
