--- a/Makefile
+++ b/Makefile
@@ -20,8 +20,8 @@
 
 test: export PYTHONHASHSEED = 0
 test: env
-	$(BIN)/ruff check violetsaddle tests examples benchmarks
-	$(BIN)/ruff format --check violetsaddle tests examples benchmarks
+	$(BIN)/ruff check violetsaddle tests examples benchmarks deploy
+	$(BIN)/ruff format --check violetsaddle tests examples benchmarks deploy
 	$(BIN)/mypy
 	$(BIN)/python examples/in_process.py
 	$(BIN)/python -m pytest -q
--- a/deploy/sites/replace_tenants.py
+++ b/deploy/sites/replace_tenants.py
@@ -1,7 +1,7 @@
 """Prints a site of the bench with other tenants: `python replace_tenants.py SITE TENANTS NAME`.
 
-SITE is a site file, TENANTS one that holds nothing but `[[tenant]]` tables, NAME the new site's name.  The site's own
-`[[tenant]]` tables are left out; all else stays as it is, line by line."""
+SITE is a site file, TENANTS one that holds nothing but `[[tenant]]` tables, NAME the new site's name.  The
+site's own `[[tenant]]` tables are left out; all else stays as it is, line by line."""
 
 from __future__ import annotations
 
