--- a/tests/test_capacity.py
+++ b/tests/test_capacity.py
@@ -272,6 +272,8 @@
         stdout=subprocess.DEVNULL,
         stderr=subprocess.PIPE,
         text=True,
+        # A shell's background job inherits SIGINT as ignored, and so would the command.
+        preexec_fn=lambda: signal.signal(signal.SIGINT, signal.SIG_DFL),
     )
     try:
         yield program
