--- a/tests/test_memory.py
+++ b/tests/test_memory.py
@@ -56,6 +56,7 @@
     """A node with a history: s-0 fails at once, s-1 can't be reached, the others serve."""
     balancer, recorder = make(workers=0, **MORE)
     balancer.members(0, "disk", [entry(name) for name in NAMES])
+    balancer.members(0, "diff", [])  # discovery has answered: until then its first requests wait
     at = run_until(balancer, recorder, 0, now - 4 * SECOND)
     for job in range(300):
         at += 10 * MS
