Record why attempts are given up, repeated or refused after, by request id

Need: a staging run saw one request sent again; neither the node's log nor its counters said which earlier attempt was taken for over, and on what evidence. Without an operator file nothing of an attempt was logged at all.

Change: net/audit.py writes one line for each repeat, each attempt given up while its client waits, each refusal after an attempt and each client connection closed unanswered, with the request's id, the earlier attempts' servers, life and outcome, and whether a DELETE was answered. No decision changes.

--- a/violetsaddle/decide/proof.py
+++ b/violetsaddle/decide/proof.py
@@ -52,6 +52,15 @@
     LOST = "lost"
 
 
+class Release(enum.StrEnum):
+    """What shows that an attempt was given up."""
+
+    NONE = "none"  # it was not
+    CLOSED = "closed"  # its connection alone: its last byte had not left, or no DELETE is allowed
+    CONFIRMED = "confirmed"  # its DELETE was answered
+    UNCONFIRMED = "unconfirmed"  # its DELETE was not
+
+
 CALLBACKS = frozenset((Word.STARTED, Word.DONE, Word.FAILED, Word.RETURNED, Word.LOST))
 
 
--- a/violetsaddle/net/counters.py
+++ b/violetsaddle/net/counters.py
@@ -44,6 +44,11 @@
         self._counts: Counter[str] = Counter()
         self.held: Callable[[], dict[str, int]] = dict  # what is held at this moment, shown with the counts
 
+    @property
+    def has_log(self) -> bool:
+        """Whether events go to a log that an operator file asks for."""
+        return self._log is not None
+
     def add(self, what: str) -> None:
         """Counts one more."""
         self._counts[what] += 1
--- a/violetsaddle/net/requests.py
+++ b/violetsaddle/net/requests.py
@@ -13,7 +13,8 @@
 from twisted.internet.defer import Deferred
 
 from violetsaddle import interface as api
-from violetsaddle.decide.proof import TABLE, Life, Word
+from violetsaddle.decide.proof import TABLE, Life, Release, Word
+from violetsaddle.net.audit import Audit
 from violetsaddle.net.counters import Counters
 from violetsaddle.net.deadlines import Deadline, Deadlines
 from violetsaddle.net.limits import Limits
@@ -78,6 +79,9 @@
         "may_cancel",
         "real",
         "doubt",
+        "last_life",
+        "outcome",
+        "release",
     )
 
     def __init__(
@@ -94,6 +98,8 @@
         self.ticket: Deferred[Any] | None = None  # what carries it, while it does
         self.name = ""  # the real server's, as in its callbacks
         self.real: object = None  # what its carrier knows it by: the list may have dropped it meanwhile
+        self.last_life, self.outcome = Life.UNSENT, ""  # how far it had come as it ended, and its outcome
+        self.release = Release.NONE
         self.doubt = ""  # why it would start late, as far as could be seen (`Tally`)
 
     @property
@@ -220,6 +226,7 @@
         self.elsewhere: set[str] = set()  # ids of requests that are open in another process of this node
         self.on_id: Callable[[str, bool], None] | None = None  # told of each id taken in, and when it is over
         self._balancer = decider(told, seed, deadlines.now(), self)
+        self.audit = Audit(counters, deadlines)
         self._tally = Tally(self._balancer, counters) if isinstance(self._balancer, Balancer) else None
 
     def __len__(self) -> int:
@@ -457,6 +464,7 @@
         """The one outcome of an attempt; a second one is passed over."""
         if attempt.life is Life.ENDED:
             return
+        attempt.last_life, attempt.outcome = attempt.life, outcome
         attempt.life = Life.ENDED
         self._deadlines.drop(attempt.late)
         if attempt.unsent is not None:
@@ -579,6 +587,8 @@
             # Guards against a repeat that a slow connection brings when its group has forgotten the first.
             attempt.unsent = self._deadlines.add(by, lambda: self._too_late(attempt))
         self._counters.add("attempts")
+        if attempt.number:
+            self.audit.repeated(request.effect, request.attempts)
         if self._tally is not None:
             self._tally.sent(attempt)
         self.carrier.carry(attempt, request.order, until)
@@ -589,6 +599,8 @@
         if request is not None and request.client is not None:
             client, request.client = request.client, None
             self._counters.add("answered_turned_down")
+            if request.attempts:
+                self.audit.refused(request.effect, request.attempts)
             client.turned_down(retry_after, not request.attempts)
             self._tidy(request)
 
--- a/violetsaddle/net/servers.py
+++ b/violetsaddle/net/servers.py
@@ -16,7 +16,7 @@
 from zope.interface import implementer  # type: ignore[import-untyped]
 
 from violetsaddle import interface as api
-from violetsaddle.decide.proof import Life, Word, answered
+from violetsaddle.decide.proof import Life, Release, Word, answered
 from violetsaddle.net import http
 from violetsaddle.net.counters import Counters
 from violetsaddle.net.deadlines import Deadline, Deadlines, Patience, Reactor, Transport, nothing
@@ -580,6 +580,8 @@
             ticket.cancel()  # no answer has come: the end of the connection gives the job up
         server = attempt.real
         if not isinstance(server, RealServer) or not attempt.may_cancel or attempt.life is Life.UNSENT:
+            attempt.release = Release.CLOSED
+            self._requests.audit.released(attempt, self._requests.waits(attempt), 0, "")
             return succeed(None)
         # Also before a 202: one that has crossed the closing would leave the job running.
         out: Deferred[None] = Deferred()
@@ -610,7 +612,7 @@
             deleting = dialled.addCallback(self._on, message)
         late = self._deadlines.after(self._limits.give_up, deleting.cancel)
 
-        def over(result: object) -> None:
+        def over(result: Any) -> None:
             self._deadlines.drop(late)
             if isinstance(result, Reason):
                 self._failed(result)
@@ -627,6 +629,10 @@
                     pause = self._limits.delete_pause * min(tries - 1, self._limits.delete_tries) + 1
                     self._deadlines.after(pause, lambda: self._delete(server, attempt, told, tries + 1))
                     return
+                attempt.release, detail = Release.UNCONFIRMED, type(result.value).__name__
+            else:
+                attempt.release, detail = Release.CONFIRMED, str(result.status)
+            self._requests.audit.released(attempt, self._requests.waits(attempt), tries, detail)
             told()
 
         deleting.addBoth(over)
