--- a/tests/test_repeats.py
+++ b/tests/test_repeats.py
@@ -139,6 +139,37 @@
     assert len(net.wires) == 2
 
 
+def test_a_late_second_answer_does_not_confirm_a_delete() -> None:
+    # It was taken for the DELETE's answer, and the next attempt left beside a job that nobody had given up.
+    net = three(RequestClass(200 * MS, DEADLINE, SAFE))
+    net.ask("a", 0, DEADLINE)
+    wire = up_and_written(net)
+    wire.answer("202")
+    others = [n for n in (1, 2, 3) if n != wire.at[1]]
+    net.listed(api.DIFF, **{f"s-{n}": (api.DRAINING, 0, n) for n in others})
+    advance(net, 74 * MS)
+    net.ask("b", 0, DEADLINE)
+    wire.flush()
+    assert job_of(wire) == "b"
+    wire.answer("202")
+    net.listed(api.DIFF, **{f"s-{n}": (api.ACTIVE, 0, n) for n in others})
+    advance(net, 8 * MS)  # the first has not started: it is given up
+    assert net.counters.get("deletes") == 1
+    wire.flush()
+    wire.answer("202")  # to b, for the second time
+    for other in net.live():
+        if other.protocol is None:
+            other.up()
+        other.flush()
+    assert [job_of(w) for w in net.wires].count("a") == 0, (
+        "a second attempt left before the DELETE was answered"
+    )
+    deleting = next(w for w in net.live() if w.message.startswith(b"DELETE"))
+    deleting.answer("204")
+    up_and_written(net)
+    assert [job_of(w) for w in net.wires].count("a") == 1
+
+
 def test_a_server_that_left_and_came_back_is_not_asked_twice() -> None:
     net = Net(told(RequestClass(200 * MS, DEADLINE, UNSAFE)))
     net.listed(api.DISK, one=(api.ACTIVE, 0, 1))
