Give an attempt up only once its DELETE is confirmed; a DELETE shares no recent connection

Cause: Servers._delete let the next attempt go after 2 s of silence or three lost DELETEs where no 202 had been read. A 202 that crossed the closing, or was lost with a silent connection, left the job with its executor: a second copy. Besides, a DELETE went out on a connection on which an older answer could still come, and any status counted as confirmed. The class: something unconfirmed (a closing, silence, an answer that may belong to another exchange, a check made earlier) was taken for proof.

Change: net/release.py repeats a DELETE until 2xx, 404 or 410 while somebody waits; the first waits 0.5 s, for a kept connection may have fallen silent. The same mistake nearby: a connection that broke before any answer is followed by a DELETE before a repeat (the protocol ends the attempt there, so that this tries and does not insist); a 500 that may be an older exchange's proves nothing; the window and the deadline are asked again as the first byte leaves, for a node that was held up comes to its sockets before its timers.

Tests changed: after a break a DELETE comes first now, so test_repeats lets it find no server; a DELETE within 25 ms of an answer has a connection of its own, so three tests confirm it there. What they assert of the repeats is unchanged; the late second answer is tried with 500 too.

--- a/tests/test_repeats.py
+++ b/tests/test_repeats.py
@@ -54,6 +54,18 @@
     return net
 
 
+def unreachable(net: Net) -> None:
+    """A connection broke: the DELETE that comes before another attempt finds no server."""
+    net.live()[-1].fail()
+
+
+def confirm_delete(net: Net) -> None:
+    """The DELETE that was sent last is answered; it is on a connection of its own."""
+    wire = up_and_written(net)
+    assert wire.message.startswith(b"DELETE")
+    wire.answer("204")
+
+
 def advance(net: Net, time: int) -> None:
     """In steps of a millisecond, as the reactor would turn."""
     for _ in range(time // MS):
@@ -66,13 +78,14 @@
     net = three(keyed(1500 * MS))
     client = net.ask("a", 0, DEADLINE)
     up_and_written(net).lose()
+    unreachable(net)
     net.listed(api.DIFF, **{f"s-{n}": (api.DRAINING, 0, n) for n in (1, 2, 3)})
     advance(net, 200 * MS)
     net.live()[-1].fail()
     advance(net, 1300 * MS)
     net.listed(api.DIFF, **{f"s-{n}": (api.ACTIVE, 0, n) for n in (1, 2, 3)})
     advance(net, 500 * MS)
-    assert len(net.wires) == 2 and client.answers == ["failed"]
+    assert len(net.wires) == 3 and client.answers == ["failed"]
 
 
 def test_a_repeat_whose_connection_comes_up_too_late_never_leaves() -> None:
@@ -81,6 +94,7 @@
     first = up_and_written(net)
     advance(net, 50 * MS)
     first.lose()
+    unreachable(net)
     second = net.live()[-1]
     advance(net, 350 * MS)
     second.up()
@@ -100,9 +114,8 @@
     net.call("a", name, "started")
     net.call("a", name, "returned") if last == "returned" else wire.answer(last)
     assert not client.answers, "first it is given up"
-    wire.flush()
-    wire.answer("204")
-    assert client.answers == ["failed"] and len(net.wires) == 1
+    confirm_delete(net)
+    assert client.answers == ["failed"] and net.counters.get("attempts") == 1
 
 
 def test_no_word_counts_before_the_last_byte_has_left() -> None:
@@ -120,7 +133,8 @@
     assert len(net.live()) == 1, "it never ran: another may have it"
 
 
-def test_a_late_second_answer_is_no_turn_down_of_the_next_request() -> None:
+@pytest.mark.parametrize("second", ["turned away", "500"])
+def test_a_late_second_answer_is_no_turn_down_of_the_next_request(second: str) -> None:
     net = three(RequestClass(200 * MS, DEADLINE, SAFE))
     net.ask("a", 0, DEADLINE)
     wire = up_and_written(net)
@@ -131,12 +145,12 @@
     wire.flush()
     assert job_of(wire) == "b"
     net.listed(api.DIFF, **{f"s-{n}": (api.ACTIVE, 0, n) for n in others})
-    wire.answer("turned away")  # to a: it comes some milliseconds late
+    wire.answer(second)  # to a: it comes some milliseconds late
     advance(net, 5 * MS)
-    assert len(net.wires) == 1 and net.counters.get("odd_words") == 1, "b may run: it is given up first"
-    wire.flush()
-    wire.answer("204")
-    assert len(net.wires) == 2
+    assert net.counters.get("odd_words") == 1, "b may run: it is given up first"
+    assert net.counters.get("attempts") == 2
+    confirm_delete(net)
+    assert net.counters.get("attempts") == 3
 
 
 def test_a_late_second_answer_does_not_confirm_a_delete() -> None:
--- a/violetsaddle/decide/proof.py
+++ b/violetsaddle/decide/proof.py
@@ -2,7 +2,7 @@
 
 A request may be sent again, or refused, only on proof that no earlier attempt of it ran.  What counts
 as proof is the table of PROTOCOL ("what comes back"); here it is one table over the attempt's life, under
-five rules that the table of outcomes alone leaves open:
+these rules, which the table of outcomes alone leaves open:
 
 - Before the last byte has left, nothing that a real server says can be about this attempt: callbacks are
   passed over, and the end of the connection proves that it never ran.
@@ -12,6 +12,9 @@
   running, and is given up before anything else may leave.
 - An answer that was cut proves nothing but that it was cut: the real server may have taken the job and
   believe that it said so.  The job is given up before anything else may leave, as it is after an odd answer.
+- A connection that broke before any answer may have taken a 202 along.  By the protocol the attempt is over.
+  Still the job is given up before another attempt leaves, if the real server can be reached.
+- A job counts as given up once its DELETE is answered, not when the connection was closed or nothing came.
 - What has ended stays as it ended.
 
 `tests/test_repeats.py` searches all lives of a request under all effects from outside."""
@@ -70,6 +73,7 @@
     life: Life
     outcome: str = ""  # of the interface; "": none yet
     give_up: bool = False  # first the real server is told that the job is not wanted: it may still run
+    tell_before_repeat: bool = False  # the same, where another attempt may follow
 
 
 _TAKEN = {
@@ -78,10 +82,7 @@
     Word.LOST: Step(Life.ENDED, api.RESET),
     Word.STARTED: Step(Life.RUNS),
 }
-_ANSWERS = {
-    Word.BROKE: Step(Life.ENDED, api.RESET),
-    Word.ERRED: Step(Life.ENDED, api.ERROR),
-}
+_ERRED = {Word.ERRED: Step(Life.ENDED, api.ERROR)}
 # What a word makes of an attempt; one that is not here proves nothing, and is passed over.
 TABLE: dict[Life, dict[Word, Step]] = {
     Life.UNSENT: {
@@ -91,8 +92,9 @@
         Word.CUT: Step(Life.ENDED, api.CONNECT_FAILED),
     },
     Life.SENT: _TAKEN
-    | _ANSWERS
+    | _ERRED
     | {
+        Word.BROKE: Step(Life.SENT, api.RESET, tell_before_repeat=True),
         Word.ACCEPTED: Step(Life.TAKEN),
         Word.TURNED_AWAY: Step(Life.ENDED, api.FULL),
         Word.RETURNED: Step(Life.ENDED, api.FULL),
@@ -104,8 +106,9 @@
         Word.RETURNED: Step(Life.ENDED, api.FULL),
     },
     Life.RUNS: _TAKEN
-    | _ANSWERS
+    | _ERRED
     | {
+        Word.BROKE: Step(Life.RUNS, api.RESET, tell_before_repeat=True),
         Word.ACCEPTED: Step(Life.RUNS),  # callbacks may precede it
         Word.TURNED_AWAY: Step(Life.RUNS, api.ERROR, give_up=True),
         Word.RETURNED: Step(Life.RUNS, api.ERROR, give_up=True),
@@ -116,6 +119,11 @@
 }
 
 
+def confirms_release(status: int) -> bool:
+    """Whether an answer to a DELETE says that the job was given up, or that there is none."""
+    return 200 <= status < 300 or status in (404, 410)
+
+
 def answered(status: int, turned_away: str | None) -> Word:
     """The word that a real server's answer to a job is, other than 202."""
     if status in (503, 504) and turned_away == "1":
--- a/violetsaddle/net/limits.py
+++ b/violetsaddle/net/limits.py
@@ -33,7 +33,8 @@
     datagram: int = 256
     remembered: int = 4096  # ids of requests that are over
     give_up: int = 2 * SECOND  # for the answer to a DELETE
-    delete_tries: int = 3  # one that was lost with its connection, or got none, goes out so often
+    delete_first: int = 500 * MS  # the same for the first, on a connection that may have fallen silent
+    delete_tries: int = 3  # where nobody waits, an unconfirmed one goes out so often
     delete_pause: int = 100 * MS  # before the third; the second goes out at once
     edge_idle: int = 75 * SECOND
     edge_first: int = 2 * SECOND  # from a connection's start to its first message's last byte
--- a/violetsaddle/net/requests.py
+++ b/violetsaddle/net/requests.py
@@ -120,8 +120,9 @@
         """Sends an attempt's message; what is heard of it comes back through `Requests.word` and
         `Requests.noted`.  `until`: when it is given up, microseconds."""
 
-    def give_up(self, attempt: Attempt) -> Deferred[None]:
-        """Fires once the real server has been told, or can't be."""
+    def give_up(self, attempt: Attempt, broken: bool = False) -> Deferred[None]:
+        """Fires once the real server has confirmed that the job is not wanted, or that matters no more.
+        `broken`: the attempt's connection was reset before an answer."""
 
     def probe(self, server: int) -> None:
         """Asks a real server whether it is up; the answer comes back through `Requests.probed`, once."""
@@ -346,6 +347,16 @@
             return False
         return True
 
+    def in_time(self, attempt: Attempt) -> bool:
+        """Whether an attempt whose first byte is to leave now still may; ends it where its time has passed.
+        Its deadlines alone do not do: a node that was held up comes to its sockets first."""
+        now = self._deadlines.now()
+        if attempt.unsent is not None and now >= attempt.unsent.at:
+            self._too_late(attempt)
+        if attempt.late is not None and now >= attempt.late.at:
+            self._expired(attempt)
+        return attempt.life is Life.UNSENT
+
     def listed(self, kind: str, entries: Sequence[api.Entry]) -> None:
         """Discovery gave a list (`api.SNAPSHOT`), changes (`api.DIFF`) or none (`api.LIST_ERROR`)."""
         self._counters.add("lists_" + kind)
@@ -434,6 +445,10 @@
             self._counters.add("odd_words")
             # Guards against a second copy: nobody has said for sure that the job does not run.
             self.carrier.give_up(attempt).addBoth(lambda _: self.ended(attempt, step.outcome, report))
+        elif step.tell_before_repeat and attempt.effect != api.UNSAFE:
+            self.carrier.give_up(attempt, broken=True).addBoth(
+                lambda _: self.ended(attempt, step.outcome, report)
+            )
         elif step.outcome:
             self.ended(attempt, step.outcome, report, result)
         return True
--- a/violetsaddle/net/servers.py
+++ b/violetsaddle/net/servers.py
@@ -21,6 +21,7 @@
 from violetsaddle.net.counters import Counters
 from violetsaddle.net.deadlines import Deadline, Deadlines, Patience, Reactor, Transport, nothing
 from violetsaddle.net.limits import SPARE_DESCRIPTORS, Limits
+from violetsaddle.net.release import Failure, Releases
 from violetsaddle.net.requests import Attempt, Order, Requests
 from violetsaddle.net.slots import SlotTable
 
@@ -279,6 +280,7 @@
         self._connections: SlotTable[ServerConnection] = SlotTable()
         self._dialling = 0
         self._doubt_until = 0
+        self._releases: Releases[RealServer] = Releases(self, limits, deadlines, counters, requests)
         self._probe_path = "/metrics/load" if told.report_by_probe else "/alive"
 
     @property
@@ -545,6 +547,7 @@
         if (
             not server.listed
             or server.drains
+            or not self._requests.in_time(attempt)
             or (now > attempt.sent + self._limits.unseen and not self._requests.wanted(attempt))
         ):
             raise WithheldError
@@ -556,7 +559,7 @@
             self._requests.word(attempt, Word.ACCEPTED)
             return
         word = answered(answer.status, answer.header("x-turned-away"))
-        if word is Word.TURNED_AWAY and not (answer.sure and answer.delimited):
+        if not answer.sure or (word is Word.TURNED_AWAY and not answer.delimited):
             # Guards against a late second answer to the request before, which says nothing of this one, and
             # against one that was cut where nothing tells its length.
             word = Word.ODD
@@ -572,9 +575,9 @@
             return reason
         return None
 
-    def give_up(self, attempt: Attempt) -> Deferred[None]:
+    def give_up(self, attempt: Attempt, broken: bool = False) -> Deferred[None]:
         """Closes the connection if no answer has come, and sends a DELETE where the site allows it and the
-        job may be there."""
+        job may be there.  `broken`: the connection was reset before an answer."""
         ticket, attempt.ticket = attempt.ticket, None
         if ticket is not None:
             ticket.cancel()  # no answer has come: the end of the connection gives the job up
@@ -584,58 +587,25 @@
             self._requests.audit.released(attempt, self._requests.waits(attempt), 0, "")
             return succeed(None)
         # Also before a 202: one that has crossed the closing would leave the job running.
-        out: Deferred[None] = Deferred()
-
-        def told() -> None:
-            if not out.called:
-                out.callback(None)
-
-        self._counters.add("deletes")
-        self._delete(server, attempt, told)
-        return out
-
-    def _delete(self, server: RealServer, attempt: Attempt, told: Callable[[], None], tries: int = 1) -> None:
-        """`told` is called once the real server has been told, or its word is no longer needed."""
-        # Guards against a DELETE that is dropped unread with the connection it went out on, and against one
-        # that the next attempt overtakes, as a new connection or a busy real server takes its time: it
-        # counts as told once it is answered, and goes out again on new connections.
-        connection = None if tries > 1 else self._idle(server)
-
-        def message() -> Sequence[bytes]:
-            return [http.request("DELETE", f"/jobs/{attempt.job}", server.address)]
+        return self._releases.begin(attempt, server, broken)
 
+    def deliver(
+        self, server: RealServer, message: Callable[[], Sequence[bytes]], fresh: bool
+    ) -> Deferred[http.Message]:
+        """As `release.Sender.deliver`."""
+        connection = None if fresh else self._idle(server, sure=True)
         if connection is not None:
-            deleting = self._on(connection, message)
-        else:
-            # At the limit too: the connection just aborted is counted until the next turn.
-            dialled: Deferred[Any] = self._connect(server, SPARE_DESCRIPTORS // 4)
-            deleting = dialled.addCallback(self._on, message)
-        late = self._deadlines.after(self._limits.give_up, deleting.cancel)
-
-        def over(result: Any) -> None:
-            self._deadlines.drop(late)
-            if isinstance(result, Reason):
-                self._failed(result)
-                # Guards against a second copy: one that took the job still has it, though it has no room for
-                # a connection now or says nothing.  Until it is told, or tells, nothing else may be sent; its
-                # time runs out at the latest.
-                holds = attempt.held and self._requests.waits(attempt)
-                lost = (
-                    isinstance(result.value, (BrokenError, NotConnectedError))
-                    and tries < self._limits.delete_tries
-                )
-                if server.port and (lost or holds):
-                    self._counters.add("deletes_again")
-                    pause = self._limits.delete_pause * min(tries - 1, self._limits.delete_tries) + 1
-                    self._deadlines.after(pause, lambda: self._delete(server, attempt, told, tries + 1))
-                    return
-                attempt.release, detail = Release.UNCONFIRMED, type(result.value).__name__
-            else:
-                attempt.release, detail = Release.CONFIRMED, str(result.status)
-            self._requests.audit.released(attempt, self._requests.waits(attempt), tries, detail)
-            told()
-
-        deleting.addBoth(over)
+            return self._on(connection, message)
+        # At the limit too: the connection just aborted is counted until the next turn.
+        dialled: Deferred[Any] = self._connect(server, SPARE_DESCRIPTORS // 4)
+        return dialled.addCallback(self._on, message)
+
+    def failure(self, reason: Reason) -> Failure:
+        """As `release.Sender.failure`."""
+        self._failed(reason)
+        if isinstance(reason.value, NotConnectedError):
+            return Failure.REFUSED
+        return Failure.SILENT if isinstance(reason.value, CancelledError) else Failure.BROKEN
 
     def probe(self, server: int) -> None:
         """Asks for `/alive` or, where the load is told by probes, for `/metrics/load`."""
