--- a/tests/test_repeats.py
+++ b/tests/test_repeats.py
@@ -219,6 +219,73 @@
     assert wire.over and len(net.live()) == 1
 
 
+def given_up(net: Net) -> tuple[Wire, Wire]:
+    """A job that does not start in time: the connection that carried it, and that of its DELETE."""
+    net.ask("a", 0, DEADLINE)
+    wire = up_and_written(net)
+    advance(net, 85 * MS)
+    return wire, up_and_written(net)
+
+
+@pytest.mark.parametrize("taken", [False, True])
+def test_silence_and_lost_connections_do_not_confirm_a_delete(taken: bool) -> None:
+    net = three(RequestClass(200 * MS, DEADLINE, SAFE))
+    net.ask("a", 0, DEADLINE)
+    wire = up_and_written(net)
+    if taken:
+        wire.answer("202")
+    advance(net, 85 * MS)
+    advance(net, 700 * MS)
+    for _ in range(6):
+        for other in net.live():
+            other.fail() if other.protocol is None else other.lose()
+        advance(net, 310 * MS)
+    assert net.counters.get("deletes_again") > 3 and net.counters.get("attempts") == 1
+    confirm_delete(net)
+    assert net.counters.get("attempts") == 2
+
+
+def test_an_error_does_not_confirm_a_delete() -> None:
+    net = three(RequestClass(200 * MS, DEADLINE, SAFE))
+    _, deleting = given_up(net)
+    deleting.answer("503")
+    advance(net, 5 * MS)
+    assert net.counters.get("attempts") == 1
+    up_and_written(net).answer("404")
+    assert net.counters.get("attempts") == 2, "it has no such job"
+
+
+def test_a_job_may_run_after_a_reset_and_is_given_up_before_the_repeat() -> None:
+    net = three(RequestClass(200 * MS, DEADLINE, SAFE))
+    net.ask("a", 0, DEADLINE)
+    up_and_written(net).lose()
+    assert net.counters.get("attempts") == 1
+    confirm_delete(net)
+    assert net.counters.get("attempts") == 2
+
+
+def test_a_reset_of_what_must_not_run_twice_is_answered_at_once() -> None:
+    net = three(RequestClass(200 * MS, DEADLINE, UNSAFE))
+    client = net.ask("a", 0, DEADLINE)
+    up_and_written(net).lose()
+    assert client.answers == ["failed"] and len(net.wires) == 1
+
+
+@pytest.mark.parametrize("spec", [keyed(600 * MS), RequestClass(200 * MS, DEADLINE, SAFE)])
+def test_a_node_that_was_held_up_sends_nothing_late(spec: RequestClass) -> None:
+    # Its sockets come before its timers: a connection came up, and the job left after its window or deadline.
+    net = three(spec, connect_timeout=250 * MS, tells_start=False)
+    net.ask("a", 0, DEADLINE if spec.effect == KEYED else 200 * MS)
+    if spec.effect == KEYED:
+        up_and_written(net).lose()
+        unreachable(net)
+    late = net.live()[-1]
+    net.clock.rightNow += 0.6  # nothing runs meanwhile
+    late.up()
+    late.flush()
+    assert not late.message
+
+
 # The search.
 
 
@@ -236,6 +303,7 @@
     def __init__(self, spec: RequestClass, cancel: bool) -> None:
         super().__init__(told(spec, may_cancel=cancel))
         self.spec, self.sent, self.zones = spec, {}, dict[str, int]()  # type: ignore[var-annotated]
+        self.silent: set[Wire] = set()  # a 202 was lost there: nothing more comes
 
     def heard(self, wire: Wire) -> None:
         if not (job := job_of(wire)):
@@ -255,6 +323,18 @@
         for one in (s for sent in self.sent.values() for s in sent if s.wire is wire and not s.accepted):
             one.over = True
 
+    def loses_acceptance(self, wire: Wire) -> None:
+        """The real server takes the job, and its 202 never arrives."""
+        if job_of(wire) and not wire.over:
+            self.silent.add(wire)
+            self.sent[job_of(wire)][-1].accepted = True
+
+    def broken(self, wire: Wire) -> None:
+        """The connection breaks: by the protocol that ends what has no 202."""
+        for one in (s for sent in self.sent.values() for s in sent if s.wire is wire):
+            one.over |= wire in self.silent
+        wire.lose()
+
     def may_refuse(self, job: str) -> bool:
         return (
             self.spec.effect == SAFE
@@ -304,6 +384,7 @@
                 "part",
                 "202",
                 "202",
+                "202 lost",
                 "204",
                 "500",
                 "404",
@@ -373,8 +454,11 @@
     elif what in ("flush", "part"):
         wire.flush(10 if what == "part" else 1 << 30)
     elif what == "lose":
-        wire.lose()
-    elif what not in ("up", "fail") and wire.message and not wire.pending:
+        net.broken(wire)
+    elif what == "202 lost":
+        if wire.message and not wire.pending:
+            net.loses_acceptance(wire)
+    elif wire not in net.silent and what not in ("up", "fail") and wire.message and not wire.pending:
         net.reply(wire, what)
 
 
