--- a/violetsaddle/net/discovery.py
+++ b/violetsaddle/net/discovery.py
@@ -17,6 +17,7 @@
 from violetsaddle.net.limits import MS, Limits
 from violetsaddle.net.requests import Requests
 from violetsaddle.net.servers import BrokenError, NotConnectedError, ServerConnection, Servers, dial
+from violetsaddle.net.wall_clock import WallClock
 
 MOST_DOUBLINGS = 2  # of the time for an answer, after calls that were given up: 1.1 s, 2.2 s, 4.4 s
 STATES = {"up": api.ACTIVE, "draining": api.DRAINING, "removed": api.GONE}
@@ -55,8 +56,8 @@
         self._requests, self._servers, self._host, self._port = requests, servers, *at
         self._zones = {name: index for index, name in enumerate(zones)}
         self._kinds = {name: index for index, name in enumerate(kinds)}
-        # Discovery tells Unix time, the module's clock is the monotonic one: this is what lies between.
-        self._clock_ahead = clock.monotonic() - clock.unix()
+        self._wall = WallClock(clock)  # discovery tells Unix time, the module's clock is the monotonic one
+        self._starts: dict[str, tuple[int, int]] = {}  # of each server: as discovery tells it, and placed
         self._version: int | None = None  # of the list held; None: none is
         self._connection: ServerConnection | None = None
         self._watching = False
@@ -102,6 +103,7 @@
             self._entries[item["id"]] = entry
         for name in gone:
             self._entries.pop(name, None)
+        self._starts = {name: start for name, start in self._starts.items() if name in self._entries}
         self._requests.listed(kind or (api.SNAPSHOT if whole else api.DIFF), entries)
 
     def _take_drains(self, told: Any) -> None:
@@ -143,9 +145,17 @@
             kind=self._index(self._kinds, item.get("kind", 0)),
             weight=weight,
             state=state,
-            started=started * MS + self._clock_ahead or 1 if started else 0,
+            started=self._started(name, started) if started else 0,
         )
 
+    def _started(self, name: str, stamp_ms: int) -> int:
+        """When a server started, on the node's clock.  What was placed once stays: a step of the wall clock
+        must not look like a restart."""
+        known = self._starts.get(name)
+        if known is None or known[0] != stamp_ms:
+            known = self._starts[name] = stamp_ms, self._wall.place(stamp_ms * MS) or 1
+        return known[1]
+
     @staticmethod
     def _index(names: dict[str, int], name: object) -> int:
         index = names.get(name) if isinstance(name, str) else name
