--- a/violetsaddle/net/audit.py
+++ b/violetsaddle/net/audit.py
@@ -77,10 +77,10 @@
             earlier=self._summary(attempts),
         )
 
-    def closed_unanswered(self, request: int, why: str) -> None:
+    def closed_unanswered(self, job: str, why: str) -> None:
         """A client's connection is closed by this node although an answer is owed on it."""
         self._counters.add("closed_unanswered")
-        self._record("closed unanswered", number=request, why=why)
+        self._record("closed unanswered", request=job, why=why)
 
     def _since(self, attempt: Recorded) -> int:
         return (self._deadlines.now() - attempt.sent) // MS
--- a/violetsaddle/net/edge.py
+++ b/violetsaddle/net/edge.py
@@ -373,7 +373,7 @@
         except Exception as error:
             self._shared.counters.fault("an edge connection failed", error)
             if self._awaited:
-                self._shared.requests.audit.closed_unanswered(self._request, type(error).__name__)
+                self._shared.requests.closed_unanswered(self._request, type(error).__name__)
             self._abort()
         finally:
             self._reading = False
@@ -396,7 +396,7 @@
     def _refused(self, error: http.MalformedError) -> None:
         self._shared.counters.add("bad_messages")
         if self._awaited:
-            self._shared.requests.audit.closed_unanswered(self._request, error.text)
+            self._shared.requests.closed_unanswered(self._request, error.text)
             self._abort()  # the answer owed can't be given in its turn any more
             return
         self._answer(error.status, error.text.encode(), close=True)
--- a/violetsaddle/net/requests.py
+++ b/violetsaddle/net/requests.py
@@ -107,11 +107,6 @@
         """Its one outcome is known."""
         return self.life is Life.ENDED
 
-    @property
-    def held(self) -> bool:
-        """The real server has the job, as far as is known."""
-        return self.life in (Life.TAKEN, Life.RUNS)
-
 
 class Carrier(Protocol):
     """What brings attempts to real servers."""
@@ -337,6 +332,11 @@
                 self.ended(attempt, api.MOOT)
         self._tidy(request)
 
+    def closed_unanswered(self, number: int, why: str) -> None:
+        """The client's connection is closed by this node although its answer is owed."""
+        request = self._table.get(number)
+        self.audit.closed_unanswered(request.job if request is not None else "-", why)
+
     def wanted(self, attempt: Attempt) -> bool:
         """Whether somebody waits for an attempt whose first byte is to leave now."""
         request = self._table.get(attempt.request)
