--- a/tests/test_closes.py
+++ b/tests/test_closes.py
@@ -205,6 +205,18 @@
                 self.assertTrue(line.message(), f"asked after {at} s")
         self.assertFalse([at for at, _ in asked if at > end - 0.2], "unused ones stay open to the end")
 
+    def test_signals_up_to_the_very_end(self) -> None:
+        # The interpreter gives signals their default back as it ends: SIGHUP ended the program then, with -1.
+        for _ in range(5):
+            self.start(deadlines(500_000))
+            self.play("node send TERM")
+            while self.program.poll() is None:
+                for number in (signal.SIGHUP, signal.SIGUSR1, signal.SIGTERM, signal.SIGINT):
+                    self.program.send_signal(number)
+                    time.sleep(0.0002)
+            self.assertEqual(self.program.returncode, 0)
+            self.end()
+
     def test_both_signals_and_each_twice(self) -> None:
         self.start()
         self.play("""
--- a/violetsaddle/__main__.py
+++ b/violetsaddle/__main__.py
@@ -42,6 +42,9 @@
     from violetsaddle.operator import Operator
 
 
+SIGNALS = (signal.SIGHUP, signal.SIGINT, signal.SIGTERM, signal.SIGUSR1, signal.SIGUSR2)
+
+
 def at(table: dict[str, Any], key: str, told: str | None, least: int = 1) -> tuple[str, int]:
     """An address from the environment, if it tells one, or the configuration."""
     try:
@@ -187,6 +190,10 @@
     finally:
         if log is not None:
             log.flush()
+        # The interpreter gives handlers their default back as it ends, but for what is ignored: a signal that
+        # comes then would end the program with another status.
+        for number in SIGNALS:
+            signal.signal(number, signal.SIG_IGN)
 
 
 if __name__ == "__main__":
