A DELETE waits until its kept connection is quiet; a reset that nothing can follow ends at once

A new connection costs a server work, and cold ones have none to spare. So the DELETE waits for what is left of the 25 ms, on the connection that is there.

Besides, a reset was followed by a DELETE also where no attempt could follow, which held the final answer back: only while somebody waits and attempts are left now.

Tests changed, each as strict: test_node wants the DELETE before the repeat after a reset; test_reconfigure and test_configuration_trouble wait 26 to 30 ms after an answer, so that the DELETE is on the connection they look at; test_repeats confirms it there.

--- a/tests/test_configuration_trouble.py
+++ b/tests/test_configuration_trouble.py
@@ -562,6 +562,7 @@
             s send 202
             s call+ {job} started
         """)
+        time.sleep(0.03)  # an older answer may come up to then: a DELETE would go on a connection of its own
 
 
 if __name__ == "__main__":
--- a/tests/test_node.py
+++ b/tests/test_node.py
@@ -192,6 +192,8 @@
             c send job b quote
             s expect X-Txn: b
             s close
+            s expect DELETE /jobs/b
+            s send 204
             s expect X-Txn: b
             s send 202
             s call b done result=safe_to_repeat
--- a/tests/test_reconfigure.py
+++ b/tests/test_reconfigure.py
@@ -20,6 +20,9 @@
 TENANTS = (Tenant(0.5), Tenant(0.3), Tenant(0.2))
 
 
+QUIET = 26 * MS  # an older answer may come up to then: a DELETE would go on a connection of its own
+
+
 class Buckets(unittest.TestCase):
     def setUp(self) -> None:
         self.balancer, self.recorder = make(tenants=TENANTS, schedulers=4, report=frozenset({"free_slots"}))
@@ -286,6 +289,7 @@
         self.assertEqual(job_of(wire), job)
         wire.answer("202")
         net.call(job, f"s-{wire.at[1]}", "started")
+        advance(net, QUIET)
         return client, wire
 
     def deletes(self, net: Net) -> list[Wire]:
@@ -336,6 +340,7 @@
         second = up_and_written(net)
         self.assertEqual(job_of(second), "a")
         second.answer("202")
+        advance(net, QUIET)
         net.requests.leave(net.requests._by_job["a"])
         second.flush()
         self.assertTrue(second.message.startswith(b"DELETE /jobs/a "))
--- a/violetsaddle/net/requests.py
+++ b/violetsaddle/net/requests.py
@@ -445,7 +445,7 @@
             self._counters.add("odd_words")
             # Guards against a second copy: nobody has said for sure that the job does not run.
             self.carrier.give_up(attempt).addBoth(lambda _: self.ended(attempt, step.outcome, report))
-        elif step.tell_before_repeat and attempt.effect != api.UNSAFE:
+        elif step.tell_before_repeat and self._may_repeat(attempt):
             self.carrier.give_up(attempt, broken=True).addBoth(
                 lambda _: self.ended(attempt, step.outcome, report)
             )
@@ -453,6 +453,16 @@
             self.ended(attempt, step.outcome, report, result)
         return True
 
+    def _may_repeat(self, attempt: Attempt) -> bool:
+        """Whether another attempt may follow one that may have run."""
+        request = self._table.get(attempt.request)
+        return (
+            attempt.effect != api.UNSAFE
+            and request is not None
+            and request.client is not None
+            and len(request.attempts) < request.most_attempts
+        )
+
     def noted(self, attempt: Attempt, what: int, amount: float) -> None:
         """A real server told of a start or of progress; `what` and `amount` are those of `Balancer.note`."""
         if attempt.life is not Life.ENDED:
--- a/violetsaddle/net/servers.py
+++ b/violetsaddle/net/servers.py
@@ -593,13 +593,28 @@
         self, server: RealServer, message: Callable[[], Sequence[bytes]], fresh: bool
     ) -> Deferred[http.Message]:
         """As `release.Sender.deliver`."""
-        connection = None if fresh else self._idle(server, sure=True)
-        if connection is not None:
-            return self._on(connection, message)
+        if not fresh:
+            connection = self._idle(server, sure=True)
+            if connection is not None:
+                return self._on(connection, message)
+            wait = self._until_quiet(server)
+            if wait:  # shorter than a dial, and a new connection would cost the real server work
+                return self._after(wait).addCallback(lambda _: self.deliver(server, message, fresh))
         # At the limit too: the connection just aborted is counted until the next turn.
         dialled: Deferred[Any] = self._connect(server, SPARE_DESCRIPTORS // 4)
         return dialled.addCallback(self._on, message)
 
+    def _until_quiet(self, server: RealServer) -> int:
+        """Microseconds until a kept connection is quiet; 0 where there is none."""
+        kept = [c for n in server.idle if (c := self._connections.get(n)) is not None and c.open]
+        return max(1, min(c.quiet for c in kept) - self._deadlines.now()) if kept else 0
+
+    def _after(self, wait: int) -> Deferred[Any]:
+        """Fires after so many microseconds; can be cancelled."""
+        passed: Deferred[Any] = Deferred(lambda _: self._deadlines.drop(timer))
+        timer = self._deadlines.after(wait, lambda: passed.callback(None))
+        return passed
+
     def failure(self, reason: Reason) -> Failure:
         """As `release.Sender.failure`."""
         self._failed(reason)
