A connection on which a DELETE got another answer is closed

Cause, by reading: a DELETE that got a 202, which was an older job's, left its connection among the kept ones; its own 204 came later and was taken for the next DELETE's. Change: after anything but 200, 204 and 404 to a DELETE the connection is closed, also after a 503 with X-Turned-Away.

Measured: test_repeats, with the closing, and test_reconfigure pass.

--- a/tests/test_repeats.py
+++ b/tests/test_repeats.py
@@ -270,6 +270,7 @@
     wire.answer("202")  # to b
     advance(net, 5 * MS)
     assert net.counters.get("attempts") == 2
+    assert wire.over, "the DELETE's own answer would be taken for the next one's"
     confirm_delete(net)
     assert net.counters.get("attempts") == 3
 
--- a/violetsaddle/net/servers.py
+++ b/violetsaddle/net/servers.py
@@ -26,6 +26,7 @@
 from violetsaddle.net.slots import SlotTable
 
 CLEAN = (200, 202, 204, 404)
+DELETED = (200, 204, 404)  # after another answer to a DELETE, its own may still come
 
 
 class NotConnectedError(Exception):
@@ -490,7 +491,8 @@
         self, answer: http.Message, connection: ServerConnection, sure: bool, clean: Sequence[int]
     ) -> http.Message:
         answer.sure = sure
-        if answer.status in clean or answer.header("x-turned-away") == "1":
+        turned_away = clean is not DELETED and answer.header("x-turned-away") == "1"
+        if answer.status in clean or turned_away:
             self._keep(connection)
         else:
             # Whoever answers what nobody understands may send more of it; and where no DELETE is allowed,
@@ -596,13 +598,13 @@
         if not fresh:
             connection = self._idle(server, sure=True)
             if connection is not None:
-                return self._on(connection, message)
+                return self._on(connection, message, clean=DELETED)
             wait = self._until_quiet(server)
             if wait:  # shorter than a dial, and a new connection would cost the real server work
                 return self._after(wait).addCallback(lambda _: self.deliver(server, message, fresh))
         # At the limit too: the connection just aborted is counted until the next turn.
         dialled: Deferred[Any] = self._connect(server, SPARE_DESCRIPTORS // 4)
-        return dialled.addCallback(self._on, message)
+        return dialled.addCallback(self._on, message, clean=DELETED)
 
     def _until_quiet(self, server: RealServer) -> int:
         """Microseconds until a kept connection is quiet; 0 where there is none."""
