--- a/tests/test_repeats.py
+++ b/tests/test_repeats.py
@@ -189,6 +189,29 @@
     assert [job_of(w) for w in net.wires].count("a") == 1
 
 
+def test_a_late_second_confirmation_confirms_no_other_delete() -> None:
+    net = three(RequestClass(200 * MS, DEADLINE, SAFE))
+    net.ask("a", 0, DEADLINE)
+    wire = up_and_written(net)
+    wire.answer("202")
+    others = [n for n in (1, 2, 3) if n != wire.at[1]]
+    net.listed(api.DIFF, **{f"s-{n}": (api.DRAINING, 0, n) for n in others})
+    advance(net, 30 * MS)
+    net.ask("b", 0, DEADLINE)
+    wire.flush()
+    assert job_of(wire) == "b"
+    wire.answer("202")
+    advance(net, 30 * MS)
+    for job in ("a", "b"):
+        net.requests.cancel(job, 0)
+        wire.flush()
+        if job == "a":
+            wire.answer("204")
+    wire.answer("204")  # for the DELETE of a, for the second time
+    advance(net, 5 * MS)
+    assert net.counters.get("outcome_cancelled") == 1, "nobody has confirmed the end of b"
+
+
 def test_a_server_that_left_and_came_back_is_not_asked_twice() -> None:
     net = Net(told(RequestClass(200 * MS, DEADLINE, UNSAFE)))
     net.listed(api.DISK, one=(api.ACTIVE, 0, 1))
