Record system calls that fail, dials that fail, and why an attempt's connection ended

Seen: a request was sent again while system calls failed, and no log told which call, on whose connection, with which error. Change: net/transports.py is what the reactor makes all TCP transports of; it reports each failed read and write with its error (counter and line, by request id or server). Dials are counted by error, the end of an attempt's connection has its reason, a DELETE that was not answered too. What the node does is unchanged: doRead and writeSomeData give the same results as Twisted's.

Ruled out: a line for each failed dial, for a server that has gone makes hundreds; they are counters (dials_failed_ERROR).

--- a/violetsaddle/net/audit.py
+++ b/violetsaddle/net/audit.py
@@ -82,6 +82,29 @@
         self._counters.add("closed_unanswered")
         self._record("closed unanswered", request=job, why=why)
 
+    def broken(self, attempt: Recorded, written: bool, why: str) -> None:
+        """An attempt's connection has ended before a whole answer.  `written`: its last byte had left;
+        `why`: `transports.why_lost`."""
+        self._counters.add("attempts_broken")
+        self._record(
+            "attempt's connection ended",
+            request=attempt.job,
+            attempt=attempt.number,
+            server=attempt.name,
+            written=written,
+            why=why,
+            after_ms=self._since(attempt),
+        )
+
+    def not_connected(self, server: str, why: str) -> None:
+        """No connection to a server came up; `why`: the error's symbol, or a few words."""
+        self._counters.add(f"dials_failed_{why.replace(' ', '_')}")
+
+    def call_failed(self, call: str, error: str, **about: object) -> None:
+        """A system call on a connection failed; `error`: its symbol; `about`: whose connection it is."""
+        self._counters.add(f"calls_failed_{call}_{error}")
+        self._record("system call failed", call=call, error=error, **about)
+
     def _since(self, attempt: Recorded) -> int:
         return (self._deadlines.now() - attempt.sent) // MS
 
--- a/violetsaddle/net/edge.py
+++ b/violetsaddle/net/edge.py
@@ -260,6 +260,11 @@
             self._shared.requests.leave(self._request)
         self._home.gone()
 
+    def call_failed(self, call: str, error: str) -> None:
+        """A system call on it failed; `error`: its symbol."""
+        job = self._shared.requests.job_of(self._request) if self._awaited else "-"
+        self._shared.requests.audit.call_failed(call, error, client="-", request=job)
+
     def _wait(self, time: int) -> None:
         self._since = self._shared.deadlines.now()
         if self._patience is not None and not self._lost:
--- a/violetsaddle/net/reactor.py
+++ b/violetsaddle/net/reactor.py
@@ -13,6 +13,8 @@
 from twisted.internet import epollreactor, main
 from twisted.python import log
 
+from violetsaddle.net.transports import Connector, ListeningPort
+
 _EPoll: Any = epollreactor.EPollReactor  # Twisted has no types for these
 _main: Any = main
 _log: Any = log
@@ -32,6 +34,26 @@
         """Microseconds for which something may lie unread, at most, on a socket that was looked at before."""
         return (monotonic_ns() - self._polled_before) // 1000
 
+    def listenTCP(self, port: int, factory: Any, backlog: int = 50, interface: str = "") -> Any:
+        """Twisted: accepts connections; raises `CannotListenError`."""
+        listening = ListeningPort(port, factory, backlog, interface, self)
+        listening.startListening()
+        return listening
+
+    def adoptStreamPort(self, descriptor: int, family: int, factory: Any) -> Any:
+        """Twisted: accepts connections at a copy of a TCP socket that is bound already."""
+        listening = ListeningPort._fromListeningDescriptor(self, descriptor, family, factory)
+        listening.startListening()
+        return listening
+
+    def connectTCP(
+        self, host: str, port: int, factory: Any, timeout: float | None = 30, bindAddress: Any = None
+    ) -> Any:
+        """Twisted: makes a connection."""
+        connector = Connector(host, port, factory, timeout, bindAddress, self)
+        connector.connect()
+        return connector
+
     def addWriter(self, writer: Any) -> None:
         """Twisted: it has something to write; that goes out when the turn ends."""
         # One that still connects has nothing to write: it waits for the kernel.
--- a/violetsaddle/net/release.py
+++ b/violetsaddle/net/release.py
@@ -55,6 +55,9 @@
     def failure(self, reason: Reason) -> Failure:
         """Why there was no answer; a failure that nobody foresaw is reported."""
 
+    def why(self, reason: Reason) -> str:
+        """The same in a few words for the log."""
+
 
 class _Releasing(Generic[S]):
     """One attempt that is being given up; `done` fires once it counts as such, or nobody waits any more."""
@@ -116,7 +119,7 @@
             pause = self._limits.delete_pause * min(releasing.tries - 1, self._limits.delete_tries) + 1
             self._deadlines.after(pause, lambda: self._delete(releasing))
         else:
-            detail = type(result.value).__name__ if isinstance(result, Reason) else str(result.status)
+            detail = self._sender.why(result) if isinstance(result, Reason) else str(result.status)
             self._finish(releasing, Release.UNCONFIRMED, detail)
 
     def _goes_on(self, releasing: _Releasing[S], result: Any) -> bool:
--- a/violetsaddle/net/requests.py
+++ b/violetsaddle/net/requests.py
@@ -334,8 +334,12 @@
 
     def closed_unanswered(self, number: int, why: str) -> None:
         """The client's connection is closed by this node although its answer is owed."""
+        self.audit.closed_unanswered(self.job_of(number), why)
+
+    def job_of(self, number: int) -> str:
+        """The id of an open request; `-` where there is none of that number."""
         request = self._table.get(number)
-        self.audit.closed_unanswered(request.job if request is not None else "-", why)
+        return request.job if request is not None else "-"
 
     def wanted(self, attempt: Attempt) -> bool:
         """Whether somebody waits for an attempt whose first byte is to leave now."""
--- a/violetsaddle/net/servers.py
+++ b/violetsaddle/net/servers.py
@@ -24,6 +24,7 @@
 from violetsaddle.net.release import Failure, Releases
 from violetsaddle.net.requests import Attempt, Order, Requests
 from violetsaddle.net.slots import SlotTable
+from violetsaddle.net.transports import name_of, why_lost
 
 CLEAN = (200, 202, 204, 404)
 DELETED = (200, 204, 404)  # after another answer to a DELETE, its own may still come
@@ -32,15 +33,20 @@
 class NotConnectedError(Exception):
     """No connection came up: nothing was sent."""
 
+    def __init__(self, why: str) -> None:
+        """`why`: the error's symbol as `ECONNREFUSED`, or a few words, for the log."""
+        super().__init__(why)
+        self.why = why
+
 
 class BrokenError(Exception):
     """The connection ended before a whole answer."""
 
-    def __init__(self, written: bool, begun: bool) -> None:
+    def __init__(self, written: bool, begun: bool, why: str) -> None:
         """`written`: the message's last byte had gone out; `begun`: a part of the answer, or one that can't
-        be read, had come."""
-        super().__init__("the connection broke")
-        self.written, self.begun = written, begun
+        be read, had come; `why`: what ended it, in a few words for the log."""
+        super().__init__(why)
+        self.written, self.begun, self.why = written, begun, why
 
 
 class WithheldError(Exception):
@@ -75,6 +81,7 @@
         """`most_body`: bytes of an answer's body; 0: as real servers' answers."""
         self._limits, self._ended = limits, ended
         self.wrong = ""  # what was wrong with an answer that could not be taken
+        self.on_call_failed: Callable[[str, str], None] | None = None  # told of a system call and its error
         self.number = -1
         self.server: RealServer | None = None
         self.patience: Patience | None = None  # None: never idle yet
@@ -104,7 +111,7 @@
         answer: Deferred[http.Message] = Deferred(self._cancelled)
         self._answer, self._message, self._written, self._on_written = answer, message, False, on_written
         if not self.open:
-            self._fail()
+            self._fail("closed")
         else:
             # As a pull producer we are asked for more once the kernel has taken the last byte.
             self.transport.registerProducer(self, False)
@@ -160,10 +167,15 @@
         if answer is not None:
             answer.callback(message)
 
-    def _fail(self) -> None:
+    def call_failed(self, call: str, error: str) -> None:
+        """A system call on it failed; `error`: its symbol."""
+        if self.on_call_failed is not None:
+            self.on_call_failed(call, error)
+
+    def _fail(self, why: str) -> None:
         answer, self._answer = self._answer, None
         if answer is not None:
-            answer.errback(BrokenError(self._written, bool(self.wrong) or self._parser.begun))
+            answer.errback(BrokenError(self._written, bool(self.wrong) or self._parser.begun, why))
 
     def connectionLost(self, reason: Reason = connectionDone) -> None:
         """Twisted: the connection has ended; an exchange that still runs fails with `BrokenError`, unless its
@@ -172,7 +184,7 @@
         whole = self._parser.finish()
         if whole is not None:
             self._give(whole)
-        self._fail()
+        self._fail(why_lost(reason))
         self._ended(self)
 
 
@@ -202,13 +214,13 @@
         if done is not None and connection is not None:
             done.callback(connection)
 
-    def failed(self) -> None:
+    def failed(self, why: str) -> None:
         done, self.done = self.done, None
         if done is not None:
-            done.errback(NotConnectedError())
+            done.errback(NotConnectedError(why))
 
     def too_late(self) -> None:
-        self.failed()
+        self.failed("late")
         self._hang_up()
 
     def _cancelled(self, _: object) -> None:
@@ -224,7 +236,7 @@
         # still be asked for the other one in this very turn.
         self._transport.doRead = self._transport.doWrite = nothing
         self.clientConnectionLost(connector, reason)
-        self.failed()
+        self.failed(name_of(getattr(reason.value, "osError", None) or 0))
 
     def clientConnectionLost(self, connector: Any, reason: Reason) -> None:
         # Guards against a cycle that only the collector could free: a connector and its transport hold each
@@ -255,7 +267,7 @@
         # No time-out of its own: the deadline above is in the one structure with all others.
         reactor.connectTCP(host, port, dialling, timeout=None)
     except Exception:
-        dialling.failed()  # a host that is none
+        dialling.failed("no address")
     return done
 
 
@@ -380,7 +392,7 @@
 
     def _connect(self, server: RealServer, spare: int = 0) -> Deferred[ServerConnection]:
         if not server.port or not self._room(spare):
-            return fail(NotConnectedError())
+            return fail(NotConnectedError("no room" if server.port else "no address"))
         self._dialling += 1
         dialled = dial(
             self._reactor,
@@ -398,10 +410,19 @@
         def up(connection: ServerConnection) -> ServerConnection:
             connection.number, connection.server = self._connections.put(connection), server
             connection.fresh = True
+            connection.on_call_failed = partial(self._call_failed, server)
             self._counters.add("server_connections")
             return connection
 
-        return dialled.addBoth(over).addCallback(up)
+        def failed(reason: Reason) -> Reason:
+            if isinstance(reason.value, NotConnectedError):
+                self._requests.audit.not_connected(server.name, reason.value.why)
+            return reason
+
+        return dialled.addBoth(over).addCallbacks(up, failed)
+
+    def _call_failed(self, server: RealServer, call: str, error: str) -> None:
+        self._requests.audit.call_failed(call, error, server=server.name)
 
     def _room(self, spare: int = 0) -> bool:
         """Whether a descriptor may be used, `spare` above the limit included; at it the longest idle
@@ -572,6 +593,7 @@
         if isinstance(reason.value, (NotConnectedError, WithheldError)):
             self._requests.word(attempt, Word.UNREACHED)
         elif isinstance(reason.value, BrokenError):
+            self._requests.audit.broken(attempt, reason.value.written, reason.value.why)
             self._requests.word(attempt, Word.CUT if reason.value.begun else Word.BROKE)
         else:
             return reason
@@ -624,6 +646,10 @@
             return Failure.REFUSED
         return Failure.SILENT if isinstance(reason.value, CancelledError) else Failure.BROKEN
 
+    def why(self, reason: Reason) -> str:
+        """As `release.Sender.why`."""
+        return str(getattr(reason.value, "why", type(reason.value).__name__))
+
     def probe(self, server: int) -> None:
         """Asks for `/alive` or, where the load is told by probes, for `/metrics/load`."""
         real = self._by_number.get(server)
