After a reset too, nothing is sent again before the DELETE is confirmed

Seen by callers: a request went to a second executor while the first ran it.

Cause: an attempt whose connection ended before an answer is followed by a DELETE, and where no connection came up for that, the executor was taken for dead and the next attempt left. But connects fail on this machine too (ENETUNREACH, EADDRNOTAVAIL, ENOBUFS), and the connection may have ended by a read that failed here, or a 202 was lost with it. An executor that has all the connections it takes refuses as well. release.py:_goes_on is to blame.

Ruled out: the wait of the DELETE (it was refused at once) and the kept connection (the first is not used after a reset).

Change: while somebody waits for the request the DELETE goes on until it is confirmed or a callback tells the end; the exception is gone. Three tests of test_repeats took a refused DELETE as the way to the repeat; they confirm it now, what they assert of the repeats is unchanged.

--- a/tests/test_repeats.py
+++ b/tests/test_repeats.py
@@ -54,11 +54,6 @@
     return net
 
 
-def unreachable(net: Net) -> None:
-    """A connection broke: the DELETE that comes before another attempt finds no server."""
-    net.live()[-1].fail()
-
-
 def confirm_delete(net: Net) -> None:
     """The DELETE that was sent last is answered; it waited until its connection had been quiet."""
     advance(net, 26 * MS)
@@ -82,7 +77,7 @@
     net = three(keyed(1500 * MS))
     client = net.ask("a", 0, DEADLINE)
     up_and_written(net).lose()
-    unreachable(net)
+    confirm_delete(net)
     net.listed(api.DIFF, **{f"s-{n}": (api.DRAINING, 0, n) for n in (1, 2, 3)})
     advance(net, 200 * MS)
     net.live()[-1].fail()
@@ -98,7 +93,7 @@
     first = up_and_written(net)
     advance(net, 50 * MS)
     first.lose()
-    unreachable(net)
+    confirm_delete(net)
     second = net.live()[-1]
     advance(net, 350 * MS)
     second.up()
@@ -317,6 +312,19 @@
     assert net.counters.get("attempts") == 2
 
 
+def test_a_server_that_cannot_be_reached_after_a_reset_does_not_confirm_a_delete() -> None:
+    net = three(RequestClass(200 * MS, DEADLINE, SAFE))
+    client = net.ask("a", 0, DEADLINE)
+    up_and_written(net).lose()
+    for _ in range(6):
+        for other in net.live():
+            other.fail()
+        advance(net, 310 * MS)
+    assert net.counters.get("deletes_again") > 3 and net.counters.get("attempts") == 1 and not client.answers
+    confirm_delete(net)
+    assert net.counters.get("attempts") == 2
+
+
 def test_a_reset_of_what_must_not_run_twice_is_answered_at_once() -> None:
     net = three(RequestClass(200 * MS, DEADLINE, UNSAFE))
     client = net.ask("a", 0, DEADLINE)
@@ -331,7 +339,7 @@
     net.ask("a", 0, DEADLINE if spec.effect == KEYED else 200 * MS)
     if spec.effect == KEYED:
         up_and_written(net).lose()
-        unreachable(net)
+        confirm_delete(net)
     late = net.live()[-1]
     net.clock.rightNow += 0.6  # nothing runs meanwhile
     late.up()
--- a/violetsaddle/decide/proof.py
+++ b/violetsaddle/decide/proof.py
@@ -12,8 +12,8 @@
   running, and is given up before anything else may leave.
 - An answer that was cut proves nothing but that it was cut: the real server may have taken the job and
   believe that it said so.  The job is given up before anything else may leave, as it is after an odd answer.
-- A connection that broke before any answer may have taken a 202 along.  By the protocol the attempt is over.
-  Still the job is given up before another attempt leaves, if the real server can be reached.
+- A connection that broke before any answer may have taken a 202 along, and may have broken by a call that
+  failed here.  The job is given up before another attempt leaves.
 - A job counts as given up once its DELETE is answered, not when the connection was closed or nothing came.
 - What has ended stays as it ended.
 
--- a/violetsaddle/net/release.py
+++ b/violetsaddle/net/release.py
@@ -2,20 +2,18 @@
 
 While somebody waits for the request, another attempt may follow as soon as this one counts as given up.  So
 nothing but an answer to the DELETE, or a callback that tells the job's end, makes it count.  Silence, lost
-connections and a DELETE that was written prove nothing: a 202 may have crossed the closing.  One exception: a
-connection that broke before an answer has ended the attempt by the protocol, and the DELETE is there to stop
-what may run all the same.  `Servers` calls this and lends it connections."""
+connections, connects that fail and a DELETE that was written prove nothing: a 202 may have crossed the
+closing, and a call that fails may have failed here.  `Servers` calls this and lends it connections."""
 
 from __future__ import annotations
 
-import enum
 from collections.abc import Callable, Sequence
 from typing import Any, Generic, Protocol, TypeVar
 
-from twisted.internet.defer import Deferred
+from twisted.internet.defer import CancelledError, Deferred
 from twisted.python.failure import Failure as Reason
 
-from violetsaddle.decide.proof import Life, Release, confirms_release
+from violetsaddle.decide.proof import Release, confirms_release
 from violetsaddle.net import http
 from violetsaddle.net.counters import Counters
 from violetsaddle.net.deadlines import Deadlines
@@ -25,14 +23,6 @@
 S = TypeVar("S", bound="Server")
 
 
-class Failure(enum.Enum):
-    """Why a DELETE has no answer."""
-
-    REFUSED = "no connection came up"
-    SILENT = "none came in its time"
-    BROKEN = "its connection broke"
-
-
 S_contra = TypeVar("S_contra", contravariant=True)
 
 
@@ -52,11 +42,8 @@
     ) -> Deferred[http.Message]:
         """Sends a message; no older answer is taken for its own.  `fresh`: on a new connection."""
 
-    def failure(self, reason: Reason) -> Failure:
-        """Why there was no answer; a failure that nobody foresaw is reported."""
-
     def why(self, reason: Reason) -> str:
-        """The same in a few words for the log."""
+        """Why there was no answer, in a few words for the log; a failure that nobody foresaw is reported."""
 
 
 class _Releasing(Generic[S]):
@@ -65,7 +52,7 @@
     __slots__ = ("attempt", "server", "broken", "tries", "done")
 
     def __init__(self, attempt: Attempt, server: S, broken: bool) -> None:
-        """`broken`: its connection was reset before an answer, which ends it by the protocol."""
+        """`broken`: its connection was reset before an answer."""
         self.attempt, self.server, self.broken, self.tries = attempt, server, broken, 0
         self.done: Deferred[None] = Deferred()
 
@@ -112,25 +99,23 @@
 
     def _over(self, releasing: _Releasing[S], result: Any) -> None:
         """A DELETE has its answer, or a `Reason` why there is none."""
+        detail = self._sender.why(result) if isinstance(result, Reason) else str(result.status)
         if not isinstance(result, Reason) and confirms_release(result.status, releasing.tries > 1):
-            self._finish(releasing, Release.CONFIRMED, str(result.status))
+            self._finish(releasing, Release.CONFIRMED, detail)
         elif self._goes_on(releasing, result):
             self._counters.add("deletes_again")
             pause = self._limits.delete_pause * min(releasing.tries - 1, self._limits.delete_tries) + 1
             self._deadlines.after(pause, lambda: self._delete(releasing))
         else:
-            detail = self._sender.why(result) if isinstance(result, Reason) else str(result.status)
             self._finish(releasing, Release.UNCONFIRMED, detail)
 
     def _goes_on(self, releasing: _Releasing[S], result: Any) -> bool:
         """Whether another DELETE follows one that was not confirmed."""
-        attempt, more = releasing.attempt, releasing.tries < self._limits.delete_tries
-        failure = self._sender.failure(result) if isinstance(result, Reason) else None
-        if releasing.broken and attempt.life is Life.SENT:
-            # A server that resets and then takes no connection has died, and its jobs with it.
-            return more and failure is not Failure.REFUSED
-        # Guards against a second copy: a server that took the job still has it, though it says nothing now.
-        return self._requests.waits(attempt) or (more and failure is not Failure.SILENT)
+        # Guards against a second copy: a server that took the job still has it, though it can't be reached.
+        if self._requests.waits(releasing.attempt):
+            return True
+        silent = isinstance(result, Reason) and isinstance(result.value, CancelledError)
+        return releasing.tries < self._limits.delete_tries and not silent
 
     def _finish(self, releasing: _Releasing[S], release: Release, detail: str) -> None:
         attempt = releasing.attempt
--- a/violetsaddle/net/servers.py
+++ b/violetsaddle/net/servers.py
@@ -21,7 +21,7 @@
 from violetsaddle.net.counters import Counters
 from violetsaddle.net.deadlines import Deadline, Deadlines, Patience, Reactor, Transport, nothing
 from violetsaddle.net.limits import SPARE_DESCRIPTORS, Limits
-from violetsaddle.net.release import Failure, Releases
+from violetsaddle.net.release import Releases
 from violetsaddle.net.requests import Attempt, Order, Requests
 from violetsaddle.net.slots import SlotTable
 from violetsaddle.net.transports import name_of, why_lost
@@ -639,15 +639,9 @@
         timer = self._deadlines.after(wait, lambda: passed.callback(None))
         return passed
 
-    def failure(self, reason: Reason) -> Failure:
-        """As `release.Sender.failure`."""
-        self._failed(reason)
-        if isinstance(reason.value, NotConnectedError):
-            return Failure.REFUSED
-        return Failure.SILENT if isinstance(reason.value, CancelledError) else Failure.BROKEN
-
     def why(self, reason: Reason) -> str:
         """As `release.Sender.why`."""
+        self._failed(reason)
         return str(getattr(reason.value, "why", type(reason.value).__name__))
 
     def probe(self, server: int) -> None:
