A job whose last byte has left is never taken for unsent, whatever call fails after it

Seen by callers: a request of any class, also one that must not run twice, was at two executors at once.

Cause: ServerConnection learns that a message is out when Twisted asks it for more. Twisted first tells epoll that nothing waits; a call that fails there (ENOMEM) ends the connection, and the attempt, still unsent for us, counted as one that never ran: it may be sent again or refused. servers.py:_fail is to blame.

Ruled out: a short write (the last byte is counted by the kernel's answer), a connection that ends with bytes unsent.

Change: as a connection ends, the transport's buffers say whether the message has left whole; transports.unsent, which the client's side asked in its own copy, is what both use. The tests' transport keeps what it has not sent, as Twisted's does.

--- a/tests/wired.py
+++ b/tests/wired.py
@@ -35,11 +35,16 @@
     def __init__(self, net: Net, at: tuple[str, int], factory: Any) -> None:
         self.net, self.at, self.factory = net, at, factory
         self.protocol: ServerConnection | None = None
-        self.pending, self.over = b"", False
+        self.pending, self.over, self.aborted = b"", False, False
         self.producer: Any = None
         self.transport: Any = self  # as a connector's
         self.message = b""  # the one whose last byte went out last
         self.begun = 0
+        self.offset = self._tempDataLen = 0  # with `dataBuffer`: what the kernel has not taken, as in Twisted
+
+    @property
+    def dataBuffer(self) -> bytes:
+        return self.pending
 
     def up(self) -> None:
         self.protocol = self.factory.buildProtocol(None)
@@ -52,7 +57,7 @@
 
     def flush(self, part: int = 1 << 30) -> None:
         """The kernel takes so many bytes more."""
-        if self.over or not self.pending:
+        if self.over or self.aborted or not self.pending:
             return
         if not self.message.endswith(b"..."):
             self.message, self.begun = b"...", self.net.now
@@ -73,11 +78,12 @@
 
     def lose(self) -> None:
         if not self.over:
-            self.over, self.pending = True, b""
+            self.over = True
             if self.protocol is not None:
                 self.net.closed(self)
                 self.protocol.connectionLost(ENDED)
                 self.factory.clientConnectionLost(self, ENDED)
+            self.pending = b""
 
     # What the program calls.
 
@@ -95,7 +101,7 @@
         pass
 
     def abortConnection(self) -> None:
-        self.pending = b""
+        self.aborted = True
         self.net.closed(self)
         self.net.clock.callLater(0, self.lose)
 
--- a/violetsaddle/net/edge.py
+++ b/violetsaddle/net/edge.py
@@ -23,6 +23,7 @@
 from violetsaddle.net.limits import MS, SECOND, Limits
 from violetsaddle.net.requests import Failure, Requests, UnfitError
 from violetsaddle.net.slots import SlotTable
+from violetsaddle.net.transports import unsent
 
 try:
     from _blake2 import blake2b  # as hashlib would give it, which loads OpenSSL first
@@ -304,20 +305,15 @@
 
     def _part(self) -> None:
         """The time for the other side's end is up."""
-        unsent = self._unsent()
-        if not unsent:
+        left = unsent(self.transport)
+        if not left:
             self.transport.loseConnection()  # what the kernel holds still goes out
-        elif unsent != self._stuck:
-            self._stuck = unsent  # a client that reads slowly gets its answer
+        elif left != self._stuck:
+            self._stuck = left  # a client that reads slowly gets its answer
             self._wait(self._shared.limits.edge_read)
         else:
             self._abort()  # one that does not read holds its connection no longer
 
-    def _unsent(self) -> int:
-        """Bytes written that the kernel has not taken."""
-        transport = self.transport  # Twisted tells it no other way
-        return int(len(transport.dataBuffer) - transport.offset + transport._tempDataLen)
-
     def close_next(self) -> None:
         """The next answer is its last."""
         self._close_next = True
--- a/violetsaddle/net/servers.py
+++ b/violetsaddle/net/servers.py
@@ -24,7 +24,7 @@
 from violetsaddle.net.release import Releases
 from violetsaddle.net.requests import Attempt, Order, Requests
 from violetsaddle.net.slots import SlotTable
-from violetsaddle.net.transports import name_of, why_lost
+from violetsaddle.net.transports import name_of, unsent, why_lost
 
 CLEAN = (200, 202, 204, 404)
 DELETED = (200, 204, 404)  # after another answer to a DELETE, its own may still come
@@ -175,6 +175,8 @@
     def _fail(self, why: str) -> None:
         answer, self._answer = self._answer, None
         if answer is not None:
+            # A call that fails after the last byte has left ends the connection before we are told of that.
+            self._written = self._written or (self._message is None and not unsent(self.transport))
             answer.errback(BrokenError(self._written, bool(self.wrong) or self._parser.begun, why))
 
     def connectionLost(self, reason: Reason = connectionDone) -> None:
@@ -594,6 +596,8 @@
             self._requests.word(attempt, Word.UNREACHED)
         elif isinstance(reason.value, BrokenError):
             self._requests.audit.broken(attempt, reason.value.written, reason.value.why)
+            if reason.value.written:
+                self._requests.word(attempt, Word.WRITTEN)
             self._requests.word(attempt, Word.CUT if reason.value.begun else Word.BROKE)
         else:
             return reason
--- a/violetsaddle/net/transports.py
+++ b/violetsaddle/net/transports.py
@@ -39,6 +39,11 @@
         self.call, self.number = call, number
 
 
+def unsent(transport: Any) -> int:
+    """Bytes written to a stream transport that the kernel has not taken; Twisted tells it no other way."""
+    return len(transport.dataBuffer) - int(transport.offset) + int(transport._tempDataLen)
+
+
 def why_lost(reason: Reason) -> str:
     """Why a connection ended, in a few words for the log; `reason` is that of `connectionLost`."""
     error = reason.value
