A read or write that fails for a moment is made again and ends no connection

Seen by callers: connections of clients closed with their request out or their answer unsent; jobs that an executor had taken given up.

Cause: Twisted takes every error of recv and send, but for EAGAIN and ENOBUFS, for the end of the connection: ETIMEDOUT, EHOSTUNREACH, ENOMEM. On Linux an error is reported once, and the next call tells whether the connection has ended. What closed here was then read as what the other side had done: a job counted as reset by its executor.

Ruled out: ECONNRESET, EPIPE and their like, which do tell of an end; a call that fails for good (a test holds that it ends the connection).

Change: net/transports.py makes such a call again after 5 ms, for up to 3 s on end. A reset by a client that owes nothing is a counter and no line.

--- a/tests/test_failed_calls.py
+++ b/tests/test_failed_calls.py
@@ -88,3 +88,45 @@
         self.fails(*rows)
         line, other = self.sent("charge")
         self.nothing_at(other)
+
+    def test_a_failed_read_does_not_end_a_servers_connection(self) -> None:
+        self.start_failing()
+        line, other = self.sent()
+        self.fails(f"recv ETIMEDOUT {self.port_of(line.name)} 0 3")
+        line.sock.sendall(self.message("202"))
+        self.nothing_at(other)
+        self.nothing_at(line.name)  # the connection is open, and there is no DELETE
+        self.play("of-a call+ a done result=x\nc expect 200 | x")
+
+    def test_a_failed_read_does_not_end_a_clients_connection(self) -> None:
+        self.start_failing()
+        self.play("c send GET /up\nc expect 200")
+        self.fails(f"recv EHOSTUNREACH {self.line('c').sock.getsockname()[1]} 0 3")
+        self.play(
+            "c send job a settle\ns expect X-Txn: a\ns send 202\ns call+ a done result=x\nc expect 200 | x"
+        )
+
+    def test_a_failed_write_does_not_lose_a_clients_answer(self) -> None:
+        self.start_failing()
+        self.play("c send job a settle\ns expect X-Txn: a\ns send 202")
+        self.fails(f"send ETIMEDOUT {self.line('c').sock.getsockname()[1]} 0 3")
+        self.play("s call+ a done result=x\nc expect 200 | x")
+
+    def test_a_failed_write_does_not_end_an_attempt(self) -> None:
+        self.start_failing()
+        self.fails(*(f"send ENOMEM {self.port_of(name)} 0 2" for name in self.servers))
+        self.play("""
+            c send job a settle
+            s expect POST /api | X-Txn: a
+            s send 202
+            s call+ a done result=x
+            c expect 200 | x
+            node send USR1
+            node expect counters | attempts=1 | calls_failed_send_ENOMEM=2
+        """)
+
+    def test_reads_that_fail_for_good_end_the_connection(self) -> None:
+        self.start_failing()
+        self.play("c send GET /up\nc expect 200")
+        self.fails(f"recv EIO {self.line('c').sock.getsockname()[1]} 0 -1")
+        self.play("c send GET /up\nc wait")
--- a/violetsaddle/net/edge.py
+++ b/violetsaddle/net/edge.py
@@ -263,6 +263,8 @@
 
     def call_failed(self, call: str, error: str) -> None:
         """A system call on it failed; `error`: its symbol."""
+        if error == "ECONNRESET" and not self._awaited:
+            return  # a client that has gone
         job = self._shared.requests.job_of(self._request) if self._awaited else "-"
         self._shared.requests.audit.call_failed(call, error, client="-", request=job)
 
--- a/violetsaddle/net/servers.py
+++ b/violetsaddle/net/servers.py
@@ -186,7 +186,7 @@
         whole = self._parser.finish()
         if whole is not None:
             self._give(whole)
-        self._fail(why_lost(reason))
+        self._fail(why_lost(reason, self.transport))
         self._ended(self)
 
 
--- a/violetsaddle/net/transports.py
+++ b/violetsaddle/net/transports.py
@@ -1,16 +1,17 @@
 """Transports that report system calls that failed and, where a failure may pass, make the call again.
 
-`Reactor` makes every TCP and UDP transport of the node of these classes.  Linux reports an error of a
-connection once; if that has ended, the next read gives its end or one of `ENDED`.  Any other error says
-nothing about the other side, so that no request may be given up for it."""
+`Reactor` makes every TCP transport of the node of these classes.  Linux reports an error of a connection
+once; if that has ended, the next read gives its end or one of `ENDED`.  Any other error says nothing about
+the other side, so that no request may be given up for it."""
 
 from __future__ import annotations
 
 import errno
 from collections.abc import Callable
+from time import monotonic
 from typing import Any
 
-from twisted.internet import tcp
+from twisted.internet import main, tcp
 from twisted.internet.error import ConnectionAborted, ConnectionDone, ConnectionLost
 from twisted.python.failure import Failure as Reason
 
@@ -18,11 +19,14 @@
 _Client: Any = tcp.Client
 _Port: Any = tcp.Port
 _Connector: Any = tcp.Connector
+LOST: ConnectionLost = main.CONNECTION_LOST  # what Twisted tells apart by its class
 
 # Errors after which a connection has surely ended.
 ENDED = frozenset(
     (errno.ECONNRESET, errno.EPIPE, errno.ENOTCONN, errno.ESHUTDOWN, errno.EBADF, errno.ENOTSOCK)
 )
+MOMENT = 3.0  # seconds for which a call may fail before its connection counts as ended
+PAUSE = 0.005  # seconds until a call that failed is made again
 
 
 def name_of(number: int) -> str:
@@ -30,40 +34,46 @@
     return errno.errorcode.get(number, str(number))
 
 
-class CallFailedError(ConnectionLost):
-    """A connection that counts as ended because a system call on it failed."""
-
-    def __init__(self, call: str, number: int) -> None:
-        """`call`: the system call; `number`: its error number."""
-        super().__init__()
-        self.call, self.number = call, number
-
-
 def unsent(transport: Any) -> int:
     """Bytes written to a stream transport that the kernel has not taken; Twisted tells it no other way."""
     return len(transport.dataBuffer) - int(transport.offset) + int(transport._tempDataLen)
 
 
-def why_lost(reason: Reason) -> str:
+def why_lost(reason: Reason, transport: Any) -> str:
     """Why a connection ended, in a few words for the log; `reason` is that of `connectionLost`."""
-    error = reason.value
-    if isinstance(error, CallFailedError):
-        return f"{error.call}:{name_of(error.number)}"
-    if isinstance(error, ConnectionAborted):
+    ended_by = getattr(transport, "ended_by", "")
+    if ended_by and isinstance(reason.value, ConnectionLost):
+        return str(ended_by)
+    if isinstance(reason.value, ConnectionAborted):
         return "aborted_here"
-    return "closed" if isinstance(error, ConnectionDone) else type(error).__name__
+    return "closed" if isinstance(reason.value, ConnectionDone) else type(reason.value).__name__
 
 
-class _Reporting:
+class _StreamTransport:
     """What both kinds of stream transports share; mixed in before Twisted's class.
 
     Each failed call is told to the protocol's `call_failed(call, error)`, if it has such a method."""
 
     SEND_LIMIT: int
     bufferSize: int
+    connected: int
     socket: Any
     protocol: Any
+    reactor: Any
     _dataReceived: Callable[[bytes], Any]
+    _wants_reading = False
+    _failing_since = 0.0  # of the monotonic clock; 0: calls work
+    ended_by = ""  # the call and its error that ended the connection
+
+    def startReading(self) -> None:
+        """Twisted: what comes is to be read from now on."""
+        self._wants_reading = True
+        self.reactor.addReader(self)
+
+    def stopReading(self) -> None:
+        """Twisted: what comes stays unread."""
+        self._wants_reading = False
+        self.reactor.removeReader(self)
 
     def doRead(self) -> Any:
         """Twisted: something can be read.  Gives the reason for which the connection has ended, or None."""
@@ -72,33 +82,55 @@
         except BlockingIOError:
             return None
         except OSError as error:
-            return self._failed("recv", error)
+            ended = self._failed("recv", error)
+            if ended is None:
+                self.reactor.removeReader(self)
+                self.reactor.callLater(PAUSE, self._read_again)
+            return ended
+        self._failing_since = 0.0
         return self._dataReceived(data)
 
+    def _read_again(self) -> None:
+        if self.connected and self._wants_reading:
+            self.reactor.addReader(self)
+
     def writeSomeData(self, data: bytes) -> Any:
         """Twisted: gives how many bytes the kernel took, or the reason for which the connection has ended."""
         try:
-            return self.socket.send(memoryview(data)[: self.SEND_LIMIT])
+            sent = self.socket.send(memoryview(data)[: self.SEND_LIMIT])
         except BlockingIOError:
             return 0
         except OSError as error:
-            if error.errno == errno.ENOBUFS:
-                return 0
-            return self._failed("send", error)
-
-    def _failed(self, call: str, error: OSError) -> CallFailedError:
-        number = error.errno or 0
+            ended = self._failed("send", error)
+            if ended is None:
+                self.reactor.removeWriter(self)
+                self.reactor.callLater(PAUSE, self._write_again)
+            return ended or 0
+        self._failing_since = 0.0
+        return sent
+
+    def _write_again(self) -> None:
+        if self.connected and unsent(self):
+            self.reactor.addWriter(self)
+
+    def _failed(self, call: str, error: OSError) -> ConnectionLost | None:
+        """Reports a call that failed; None where it is to be made again."""
+        number, now = error.errno or 0, monotonic()
+        self._failing_since = self._failing_since or now
         told = getattr(self.protocol, "call_failed", None)
         if told is not None:
             told(call, name_of(number))
-        return CallFailedError(call, number)
+        if number in ENDED or now - self._failing_since > MOMENT:
+            self.ended_by = f"{call}:{name_of(number)}"
+            return LOST
+        return None
 
 
-class ServerTransport(_Reporting, _Server):  # type: ignore[misc]
+class ServerTransport(_StreamTransport, _Server):  # type: ignore[misc]
     """A connection that was accepted."""
 
 
-class ClientTransport(_Reporting, _Client):  # type: ignore[misc]
+class ClientTransport(_StreamTransport, _Client):  # type: ignore[misc]
     """A connection that was made here."""
 
 
