A look at a client's connection that fails does not count as the client's end

Seen by callers: the first request on a connection got no answer at all, and the connection stayed open.

Cause: before an attempt leaves the node looks by a read with MSG_PEEK whether the client has gone; any error of that read counted as its end (edge.py:_peek), so that nobody was owed an answer any more.

Evidence: test_a_failed_look_at_a_clients_connection_does_not_end_its_request failed before (no answer in 20 s after one ENOBUFS) and passes.

Change: only the errors that tell of an end count as one; a client that has really gone is seen by the next read.

--- a/tests/test_failed_calls.py
+++ b/tests/test_failed_calls.py
@@ -130,3 +130,11 @@
         self.play("c send GET /up\nc expect 200")
         self.fails(f"recv EIO {self.line('c').sock.getsockname()[1]} 0 -1")
         self.play("c send GET /up\nc wait")
+
+    def test_a_failed_look_at_a_clients_connection_does_not_end_its_request(self) -> None:
+        # The first request on a connection: the second read only looks whether the client has gone.
+        self.start_failing()
+        self.line("c")
+        self.fails(f"recv ENOBUFS {self.line('c').sock.getsockname()[1]} 1 1")
+        self.play("c send job a settle\ns expect X-Txn: a\ns send 202")
+        self.play("s call+ a done result=x\nc expect 200 | x")
--- a/violetsaddle/net/edge.py
+++ b/violetsaddle/net/edge.py
@@ -23,7 +23,7 @@
 from violetsaddle.net.limits import MS, SECOND, Limits
 from violetsaddle.net.requests import Failure, Requests, UnfitError
 from violetsaddle.net.slots import SlotTable
-from violetsaddle.net.transports import unsent
+from violetsaddle.net.transports import ENDED, unsent
 
 try:
     from _blake2 import blake2b  # as hashlib would give it, which loads OpenSSL first
@@ -199,8 +199,8 @@
             return handle.recv(1, socket.MSG_PEEK | socket.MSG_DONTWAIT)
         except BlockingIOError:
             return None
-        except OSError:
-            return b""  # reset: nothing more comes
+        except OSError as error:
+            return b"" if error.errno in ENDED else None
 
     def _unread(self) -> bool:
         return bool(self._peek())
