The reactor's timers go by the monotonic clock

Seen by callers: after the wall clock was set back by 3 s or an hour, a request whose executor said nothing had no answer until the clock had caught up.

Cause: Twisted's reactor takes its time from the wall clock (ReactorBase.seconds). All deadlines of the node are on the monotonic clock, but the one callLater that wakes it for the earliest was not.

Evidence: test_a_step_of_the_wall_clock_does_not_hold_up_an_answer fails before for -3 s and -3600 s (no answer in 5 s where 0.6 s are waited) and passes. Ruled out: steps forward (the timer comes early and is set again; passed before too).

Change: Reactor.seconds is the monotonic clock.

--- a/violetsaddle/net/reactor.py
+++ b/violetsaddle/net/reactor.py
@@ -7,7 +7,7 @@
 
 from __future__ import annotations
 
-from time import monotonic_ns
+from time import monotonic, monotonic_ns
 from typing import Any
 
 from twisted.internet import epollreactor, main
@@ -23,6 +23,8 @@
 class Reactor(_EPoll):  # type: ignore[misc]
     """`EPollReactor` that writes at the end of a turn; see the module."""
 
+    seconds = staticmethod(monotonic)  # Twisted's own is the wall clock, whose steps would move every timer
+
     def __init__(self) -> None:
         """Opens the epoll descriptor, as Twisted's does."""
         # Writers that wait for the turn's end, in the order in which they asked.
