A datagram read that fails does not close the peers' socket

Seen: after one failed recvfrom (ENOMEM, ENOBUFS) a node heard no peer any more and told none, for the rest of its life.

Cause: Twisted's UDP port raises what recvfrom raises, and the reactor closes a port that raises.

Evidence: test_a_failed_read_does_not_close_the_peers_socket failed before (no datagram counted as heard after it) and passes. Ruled out: sendto, whose errors Peers counts as untold.

--- a/tests/test_failed_calls.py
+++ b/tests/test_failed_calls.py
@@ -138,3 +138,19 @@
         self.fails(f"recv ENOBUFS {self.line('c').sock.getsockname()[1]} 1 1")
         self.play("c send job a settle\ns expect X-Txn: a\ns send 202")
         self.play("s call+ a done result=x\nc expect 200 | x")
+
+    def test_a_failed_read_does_not_close_the_peers_socket(self) -> None:
+        self.start_failing({"permissions": {**SETTINGS["permissions"], "mayTell": True}})
+        self.fails("recvfrom ENOMEM 0 0 1")
+        self.play("p send 00\nc send GET /up\nc expect 200")
+        time.sleep(PASSED)
+        self.play("""
+            p send 00
+            c send job a settle
+            s expect X-Txn: a
+            s send 202
+            s call+ a done result=x
+            c expect 200 | x
+            node send USR1
+            node expect counters | calls_failed_recvfrom_ENOMEM=1 | heard=2 | !faults
+        """)
--- a/violetsaddle/net/peers.py
+++ b/violetsaddle/net/peers.py
@@ -62,6 +62,10 @@
         if self.transport is not None:
             self.transport.startReading()
 
+    def call_failed(self, call: str, error: str) -> None:
+        """A system call on its socket failed; `error`: its symbol."""
+        self._counters.add(f"calls_failed_{call}_{error}")
+
     def datagramReceived(self, data: bytes, addr: tuple[str, int]) -> None:
         """Twisted: a datagram; one from no peer or beyond the limit counts as bad."""
         number = self._numbers.get(addr)
--- a/violetsaddle/net/reactor.py
+++ b/violetsaddle/net/reactor.py
@@ -13,7 +13,7 @@
 from twisted.internet import epollreactor, main
 from twisted.python import log
 
-from violetsaddle.net.transports import Connector, ListeningPort
+from violetsaddle.net.transports import Connector, DatagramPort, ListeningPort
 
 _EPoll: Any = epollreactor.EPollReactor  # Twisted has no types for these
 _main: Any = main
@@ -56,6 +56,22 @@
         connector.connect()
         return connector
 
+    def listenUDP(self, port: int, protocol: Any, interface: str = "", maxPacketSize: int = 8192) -> Any:
+        """Twisted: sends and takes datagrams; raises `CannotListenError`."""
+        bound = DatagramPort(port, protocol, interface, maxPacketSize, self)
+        bound.startListening()
+        return bound
+
+    def adoptDatagramPort(
+        self, descriptor: int, family: int, protocol: Any, maxPacketSize: int = 8192
+    ) -> Any:
+        """Twisted: sends and takes datagrams at a copy of a UDP socket that is bound already."""
+        bound = DatagramPort._fromListeningDescriptor(
+            self, descriptor, family, protocol, maxPacketSize=maxPacketSize
+        )
+        bound.startListening()
+        return bound
+
     def addWriter(self, writer: Any) -> None:
         """Twisted: it has something to write; that goes out when the turn ends."""
         # One that still connects has nothing to write: it waits for the kernel.
--- a/violetsaddle/net/transports.py
+++ b/violetsaddle/net/transports.py
@@ -1,8 +1,8 @@
 """Transports that report system calls that failed and, where a failure may pass, make the call again.
 
-`Reactor` makes every TCP transport of the node of these classes.  Linux reports an error of a connection
-once; if that has ended, the next read gives its end or one of `ENDED`.  Any other error says nothing about
-the other side, so that no request may be given up for it."""
+`Reactor` makes every TCP and UDP transport of the node of these classes.  Linux reports an error of a
+connection once; if that has ended, the next read gives its end or one of `ENDED`.  Any other error says
+nothing about the other side, so that no request may be given up for it."""
 
 from __future__ import annotations
 
@@ -11,7 +11,7 @@
 from time import monotonic
 from typing import Any
 
-from twisted.internet import main, tcp
+from twisted.internet import main, tcp, udp
 from twisted.internet.error import ConnectionAborted, ConnectionDone, ConnectionLost
 from twisted.python.failure import Failure as Reason
 
@@ -19,6 +19,7 @@
 _Client: Any = tcp.Client
 _Port: Any = tcp.Port
 _Connector: Any = tcp.Connector
+_DatagramPort: Any = udp.Port
 LOST: ConnectionLost = main.CONNECTION_LOST  # what Twisted tells apart by its class
 
 # Errors after which a connection has surely ended.
@@ -49,21 +50,12 @@
     return "closed" if isinstance(reason.value, ConnectionDone) else type(reason.value).__name__
 
 
-class _StreamTransport:
-    """What both kinds of stream transports share; mixed in before Twisted's class.
-
-    Each failed call is told to the protocol's `call_failed(call, error)`, if it has such a method."""
+class _Reader:
+    """Can leave off reading for a pause; mixed in before Twisted's class."""
 
-    SEND_LIMIT: int
-    bufferSize: int
     connected: int
-    socket: Any
-    protocol: Any
     reactor: Any
-    _dataReceived: Callable[[bytes], Any]
     _wants_reading = False
-    _failing_since = 0.0  # of the monotonic clock; 0: calls work
-    ended_by = ""  # the call and its error that ended the connection
 
     def startReading(self) -> None:
         """Twisted: what comes is to be read from now on."""
@@ -75,6 +67,29 @@
         self._wants_reading = False
         self.reactor.removeReader(self)
 
+    def read_later(self) -> None:
+        """A read failed: it is made again after `PAUSE`, unless reading is stopped until then."""
+        self.reactor.removeReader(self)
+        self.reactor.callLater(PAUSE, self._read_again)
+
+    def _read_again(self) -> None:
+        if self.connected and self._wants_reading:
+            self.reactor.addReader(self)
+
+
+class _StreamTransport(_Reader):
+    """What both kinds of stream transports share; mixed in before Twisted's class.
+
+    Each failed call is told to the protocol's `call_failed(call, error)`, if it has such a method."""
+
+    SEND_LIMIT: int
+    bufferSize: int
+    socket: Any
+    protocol: Any
+    _dataReceived: Callable[[bytes], Any]
+    _failing_since = 0.0  # of the monotonic clock; 0: calls work
+    ended_by = ""  # the call and its error that ended the connection
+
     def doRead(self) -> Any:
         """Twisted: something can be read.  Gives the reason for which the connection has ended, or None."""
         try:
@@ -84,16 +99,11 @@
         except OSError as error:
             ended = self._failed("recv", error)
             if ended is None:
-                self.reactor.removeReader(self)
-                self.reactor.callLater(PAUSE, self._read_again)
+                self.read_later()
             return ended
         self._failing_since = 0.0
         return self._dataReceived(data)
 
-    def _read_again(self) -> None:
-        if self.connected and self._wants_reading:
-            self.reactor.addReader(self)
-
     def writeSomeData(self, data: bytes) -> Any:
         """Twisted: gives how many bytes the kernel took, or the reason for which the connection has ended."""
         try:
@@ -145,3 +155,17 @@
 
     def _makeTransport(self) -> Any:
         return ClientTransport(self.host, self.port, self.bindAddress, self, self.reactor)
+
+
+class DatagramPort(_Reader, _DatagramPort):  # type: ignore[misc]
+    """Sends and takes datagrams; a read that fails does not close it."""
+
+    def doRead(self) -> None:
+        """Twisted: datagrams can be read."""
+        try:
+            super().doRead()
+        except OSError as error:
+            told = getattr(self.protocol, "call_failed", None)
+            if told is not None:
+                told("recvfrom", name_of(error.errno or 0))
+            self.read_later()
