A lack of memory for epoll closes no connection; the change is made again

Seen by callers: a new connection was closed unread, and one whose answer was being written closed, as epoll_ctl failed with ENOMEM or ENOSPC.

Cause: Twisted lets what epoll_ctl raises end the connection, or drop the one just accepted.

Evidence: test_a_lack_of_memory_for_epoll_closes_no_clients_connection failed before (no executor heard anything: the accepted connection was dropped) and passes. Ruled out: EBADF, ENOENT and their like, which are raised as before.

Change: net/poller.py stands between the reactor and epoll, keeps a change that found no memory and makes it before the next wait, which is 5 ms at most then. As epoll_ctl ends no connection any more, the proof that a job has left whole has a test of its own in test_repeats.

--- a/tests/test_failed_calls.py
+++ b/tests/test_failed_calls.py
@@ -154,3 +154,10 @@
             node send USR1
             node expect counters | calls_failed_recvfrom_ENOMEM=1 | heard=2 | !faults
         """)
+
+    def test_a_lack_of_memory_for_epoll_closes_no_clients_connection(self) -> None:
+        self.start_failing()
+        self.fails(f"epoll_ctl ENOMEM {self.port} 0 3")  # first as the connection is accepted
+        self.play("c send job a settle\ns expect X-Txn: a\ns send 202")
+        self.fails(f"send EAGAIN {self.port} 0 1", f"epoll_ctl ENOSPC {self.port} 0 2")
+        self.play("s call a done result=x\nc expect 200 | x")
--- a/tests/test_repeats.py
+++ b/tests/test_repeats.py
@@ -325,6 +325,18 @@
     assert net.counters.get("attempts") == 2
 
 
+@pytest.mark.parametrize("effect", [SAFE, UNSAFE])
+def test_a_job_that_left_whole_is_not_unsent_though_nobody_was_told(effect: str) -> None:
+    net = three(RequestClass(200 * MS, DEADLINE, effect))
+    client = net.ask("a", 0, DEADLINE)
+    wire = net.live()[-1]
+    wire.up()
+    wire.producer = None  # what was to tell of the last byte has failed
+    wire.flush()
+    wire.lose()
+    assert net.counters.get("attempts") == 1 and client.answers == (["failed"] if effect == UNSAFE else [])
+
+
 def test_a_reset_of_what_must_not_run_twice_is_answered_at_once() -> None:
     net = three(RequestClass(200 * MS, DEADLINE, UNSAFE))
     client = net.ask("a", 0, DEADLINE)
--- a/violetsaddle/net/reactor.py
+++ b/violetsaddle/net/reactor.py
@@ -13,6 +13,7 @@
 from twisted.internet import epollreactor, main
 from twisted.python import log
 
+from violetsaddle.net.poller import Poller
 from violetsaddle.net.transports import Connector, DatagramPort, ListeningPort
 
 _EPoll: Any = epollreactor.EPollReactor  # Twisted has no types for these
@@ -31,6 +32,7 @@
         self._eager: dict[Any, None] = {}
         self._polled = self._polled_before = monotonic_ns()
         super().__init__()
+        self._poller = Poller(vars(self)["_poller"])
 
     def behind(self) -> int:
         """Microseconds for which something may lie unread, at most, on a socket that was looked at before."""
