A connection that may owe an answer carries no keyed job and no DELETE

Evidence: test_an_answer_that_comes_one_request_late_is_none_to_a_keyed_request fails before (the keyed job leaves on that connection and is repeated) and passes; planted anew (owed-forgotten) it is found.

Change: such a connection is marked for good once an answer has come before the one before had been quiet; safe jobs and probes go on using it.

--- a/tests/test_repeats.py
+++ b/tests/test_repeats.py
@@ -152,6 +152,31 @@
     assert net.counters.get("attempts") == 3
 
 
+@pytest.mark.parametrize("own", ["turned away", "500"])
+def test_an_answer_that_comes_one_request_late_is_none_to_a_keyed_request(own: str) -> None:
+    # A second 202 is taken for that of the next request; that one's own is then taken for a third one's.
+    net = Net(
+        told(RequestClass(200 * MS, DEADLINE, SAFE), RequestClass(200 * MS, DEADLINE, KEYED, "all", DEADLINE))
+    )
+    net.listed(api.DISK, **{"s-1": (api.ACTIVE, 0, 1)})
+    net.ask("a", 0, DEADLINE)
+    wire = up_and_written(net)
+    wire.answer("202")
+    net.ask("b", 0, DEADLINE)
+    wire.flush()
+    assert job_of(wire) == "b"
+    wire.answer("202")  # to a, for the second time
+    advance(net, 30 * MS)
+    client = net.ask("c", 1, DEADLINE)
+    wire.flush()
+    assert job_of(wire) == "b", "the answer to b may still come there"
+    up_and_written(net)
+    net.listed(api.DIFF, **{"s-2": (api.ACTIVE, 0, 2)})
+    wire.answer(own)  # to b
+    advance(net, 5 * MS)
+    assert wire.over and net.counters.get("attempts") == 3 and not client.answers
+
+
 def test_a_late_second_answer_does_not_confirm_a_delete() -> None:
     # It was taken for the DELETE's answer, and the next attempt left beside a job that nobody had given up.
     net = three(RequestClass(200 * MS, DEADLINE, SAFE))
@@ -277,6 +302,7 @@
     wire.answer("202")
     others = [n for n in (1, 2, 3) if n != wire.at[1]]
     net.listed(api.DIFF, **{f"s-{n}": (api.DRAINING, 0, n) for n in others})
+    advance(net, 30 * MS)  # later than is foreseen
     net.ask("b", 0, DEADLINE)
     wire.flush()
     wire.answer("202")  # to a, for the second time
--- a/violetsaddle/net/servers.py
+++ b/violetsaddle/net/servers.py
@@ -94,6 +94,7 @@
         self.on_open: Callable[[], None] | None = None
         self.fresh = False  # nothing was sent on it before
         self.quiet = 0  # from then on no second answer to the request before is to be expected
+        self.owed = False  # an answer that was taken may not have been its own, which is still to come then
 
     def connectionMade(self) -> None:
         """Twisted: the connection is up."""
@@ -376,13 +377,16 @@
             connection.server.idle.remove(connection.number)
 
     def _idle(self, server: RealServer, sure: bool = False) -> ServerConnection | None:
-        """The connection used last, of those that are quiet if there are any; `sure`: of those alone."""
+        """The connection used last, of those that are quiet if there are any; `sure`: of those alone, and
+        where no answer to an earlier request may still come."""
         now, idle, found = self._deadlines.now(), server.idle, -1
         for at in reversed(range(len(idle))):
             connection = self._connections.get(idle[at])
             if connection is None or not connection.open:
                 del idle[at]
                 found -= found > at
+            elif sure and connection.owed:
+                continue
             elif connection.quiet <= now or not (sure or found >= 0):
                 found = at
                 if connection.quiet <= now:
@@ -499,7 +503,8 @@
         on_written: Callable[[], None] | None = None,
         clean: Sequence[int] = CLEAN,
     ) -> Deferred[http.Message]:
-        sure = self._deadlines.now() >= connection.quiet
+        quiet = connection.quiet
+        sure = self._deadlines.now() >= quiet and not connection.owed
         try:
             parts = message()
         except WithheldError:
@@ -507,13 +512,19 @@
             raise
         answer = connection.exchange(parts, on_written)
         return answer.addCallbacks(
-            self._whole, self._broke, (connection, sure, clean), errbackArgs=(connection,)
+            self._whole, self._broke, (connection, sure, quiet, clean), errbackArgs=(connection,)
         )
 
     def _whole(
-        self, answer: http.Message, connection: ServerConnection, sure: bool, clean: Sequence[int]
+        self,
+        answer: http.Message,
+        connection: ServerConnection,
+        sure: bool,
+        quiet: int,
+        clean: Sequence[int],
     ) -> http.Message:
         answer.sure = sure
+        connection.owed |= self._deadlines.now() < quiet
         turned_away = clean is not DELETED and answer.header("x-turned-away") == "1"
         if answer.status in clean or turned_away:
             self._keep(connection)
@@ -633,8 +644,10 @@
         return dialled.addCallback(self._on, message, clean=DELETED)
 
     def _until_quiet(self, server: RealServer) -> int:
-        """Microseconds until a kept connection is quiet; 0 where there is none."""
-        kept = [c for n in server.idle if (c := self._connections.get(n)) is not None and c.open]
+        """Microseconds until a kept connection on which no answer is owed is quiet; 0 where there is none."""
+        kept = [
+            c for n in server.idle if (c := self._connections.get(n)) is not None and c.open and not c.owed
+        ]
         return max(1, min(c.quiet for c in kept) - self._deadlines.now()) if kept else 0
 
     def _after(self, wait: int) -> Deferred[Any]:
