--- a/tests/test_failed_calls.py
+++ b/tests/test_failed_calls.py
@@ -7,6 +7,7 @@
 import select
 import socket
 import struct
+import tempfile
 import time
 from typing import Any
 
@@ -161,3 +162,16 @@
         self.play("c send job a settle\ns expect X-Txn: a\ns send 202")
         self.fails(f"send EAGAIN {self.port} 0 1", f"epoll_ctl ENOSPC {self.port} 0 2")
         self.play("s call a done result=x\nc expect 200 | x")
+
+    def test_a_disk_that_fails_for_a_moment_at_the_end_does_not_forget_what_was_taken(self) -> None:
+        with tempfile.TemporaryDirectory() as folder:
+            self.start_failing(
+                operator=f'[restart]\nsnapshot = "{folder}/memory"\nsnapshot_every_s = 3600.0\n'
+            )
+            self.play("c send job a settle\ns expect X-Txn: a\ns send 202\ns call+ a done result=x")
+            self.play("c expect 200 | x")
+            self.fails("write ENOSPC 0 0 3")
+            self.play("node send TERM\nnode expect exit 0")
+            self.fails()
+            self.again()
+            self.play("c send job a settle\nc expect 400 | the id is in use")
--- a/violetsaddle/net/warmth.py
+++ b/violetsaddle/net/warmth.py
@@ -12,7 +12,7 @@
 from violetsaddle.decide.memory import Believed, Memory
 from violetsaddle.net.discovery import BadListError
 from violetsaddle.net.disk import Disk, Elsewhere, File, in_thread
-from violetsaddle.net.limits import SECOND
+from violetsaddle.net.limits import MS, SECOND
 from violetsaddle.net.node import Node
 from violetsaddle.net.peers import Peers
 from violetsaddle.operator import Restart
@@ -20,6 +20,8 @@
 from violetsaddle.store.files import DamagedError
 
 YOUNG = 2 * SECOND  # with a snapshot no older than this, peers are not asked
+LAST_TRIES = 8  # of the last snapshot; the program's end waits `Limits.farewell` for it
+LAST_PAUSE = 100 * MS  # between them
 
 
 def keeper(told: Restart) -> Callable[[Node], Warmth]:
@@ -48,6 +50,7 @@
         self._slots = 0.0  # of the fleet's estimate as the node began with it
         self._believed: Believed | None = None
         self._writing = self._failing = self._closed = self._final = False
+        self._tries_left = LAST_TRIES
         self._done: Callable[[], None] | None = None  # waits for the last write
         self._peers: Peers | None = None
         self._asking: warmth.Asking | None = None
@@ -152,7 +155,18 @@
                     ]
                 )
         self._failing = error is not None
-        if self._closed:
+        if not self._closed:
+            return
+        if self._failing and self._final and self._tries_left > 1:
+            # Guards against ids that are forgotten because the disk failed for a moment.
+            self._tries_left -= 1
+            self._node.deadlines.after(LAST_PAUSE, self._write_again)
+        else:
+            self._finish()
+
+    def _write_again(self) -> None:
+        self._write()
+        if not self._writing:
             self._finish()
 
     def leave(self) -> None:
