A kept connection is looked at before use; an answer may be owed there for a second

Cause: a node that was held up writes before it reads. A second answer, or the connection's end, that had come meanwhile lay unread, and was taken for the answer to what was written then.

Evidence: test_an_answer_that_lies_unread_is_none_to_the_next_request fails before (the next job leaves on that connection). Ruled out: what comes between the write's begin and its end, which closed the connection before.

Change: servers.py looks by a read with MSG_PEEK before it uses a kept connection (transports.peek, which the client's side asked in its own copy).

--- a/tests/test_repeats.py
+++ b/tests/test_repeats.py
@@ -152,6 +152,21 @@
     assert net.counters.get("attempts") == 3
 
 
+def test_an_answer_that_lies_unread_is_none_to_the_next_request() -> None:
+    # The node was held up: it writes before it reads what had come.
+    net = Net(told(RequestClass(200 * MS, DEADLINE, KEYED, "all", DEADLINE)))
+    net.listed(api.DISK, **{"s-1": (api.ACTIVE, 0, 1)})
+    net.ask("a", 0, DEADLINE)
+    wire = up_and_written(net)
+    wire.answer("202")
+    advance(net, 30 * MS)
+    wire.unread = b"HTTP/1.1 503 No"
+    net.ask("b", 0, DEADLINE)
+    wire.flush()
+    assert job_of(wire) == "a"
+    assert job_of(up_and_written(net)) == "b"
+
+
 @pytest.mark.parametrize("own", ["turned away", "500"])
 def test_an_answer_that_comes_one_request_late_is_none_to_a_keyed_request(own: str) -> None:
     # A second 202 is taken for that of the next request; that one's own is then taken for a third one's.
--- a/tests/wired.py
+++ b/tests/wired.py
@@ -40,6 +40,7 @@
         self.transport: Any = self  # as a connector's
         self.message = b""  # the one whose last byte went out last
         self.begun = 0
+        self.unread = b""  # lies in the kernel
         self.offset = self._tempDataLen = 0  # with `dataBuffer`: what the kernel has not taken, as in Twisted
 
     @property
@@ -87,6 +88,15 @@
 
     # What the program calls.
 
+    def getHandle(self) -> Wire:
+        return self
+
+    def recv(self, size: int, flags: int) -> bytes:
+        """Only ever a look."""
+        if not self.unread:
+            raise BlockingIOError
+        return self.unread[:size]
+
     def registerProducer(self, producer: Any, streaming: bool) -> None:
         self.producer = producer
         producer.resumeProducing()
--- a/violetsaddle/net/edge.py
+++ b/violetsaddle/net/edge.py
@@ -4,7 +4,6 @@
 
 import json
 import re
-import socket
 from collections.abc import Callable, Sequence
 from dataclasses import dataclass, field
 from heapq import heapify, heappop
@@ -23,7 +22,7 @@
 from violetsaddle.net.limits import MS, SECOND, Limits
 from violetsaddle.net.requests import Failure, Requests, UnfitError
 from violetsaddle.net.slots import SlotTable
-from violetsaddle.net.transports import ENDED, unsent
+from violetsaddle.net.transports import peek, unsent
 
 try:
     from _blake2 import blake2b  # as hashlib would give it, which loads OpenSSL first
@@ -192,24 +191,16 @@
         """Nothing has come, nor waits to be read: a request may lie there that we were too busy to see."""
         return self._first and not self._parser.held and not self._closing and not self._unread()
 
-    def _peek(self) -> bytes | None:
-        """A byte that lies in the kernel unread; none: the other side has ended; None: nothing has come."""
-        try:
-            handle: socket.socket = self.transport.getHandle()
-            return handle.recv(1, socket.MSG_PEEK | socket.MSG_DONTWAIT)
-        except BlockingIOError:
-            return None
-        except OSError as error:
-            return b"" if error.errno in ENDED else None
-
     def _unread(self) -> bool:
-        return bool(self._peek())
+        return bool(peek(self.transport))
 
     def left(self) -> bool:
         """As `requests.Client.left`."""
         # Asked of the kernel only where its end may lie there for long: a request that came first on its
         # connection may have waited for us to accept it.
-        return (self._early or self._shared.behind() > self._shared.limits.unseen) and self._peek() == b""
+        return (self._early or self._shared.behind() > self._shared.limits.unseen) and peek(
+            self.transport
+        ) == b""
 
     def gives_way(self, now: int) -> tuple[int, int] | None:
         """Its place among those that make room at the limit, the lowest first; None: not to be closed."""
--- a/violetsaddle/net/limits.py
+++ b/violetsaddle/net/limits.py
@@ -21,6 +21,7 @@
     dial: int
     edge_spare: int = 16  # connections beyond `edge_connections`, for real servers' calls alone
     quiet: int = 25 * MS  # after an answer, a second one to the same request may come for so long
+    owed: int = SECOND  # an answer that another was taken for may come so late
     doubt: int = 10 * SECOND  # kept connections carry no attempts so long after one broke in use
     head: int = 16 * 1024
     fields: int = 100  # in one head
--- a/violetsaddle/net/servers.py
+++ b/violetsaddle/net/servers.py
@@ -24,7 +24,7 @@
 from violetsaddle.net.release import Releases
 from violetsaddle.net.requests import Attempt, Order, Requests
 from violetsaddle.net.slots import SlotTable
-from violetsaddle.net.transports import name_of, unsent, why_lost
+from violetsaddle.net.transports import name_of, peek, unsent, why_lost
 
 CLEAN = (200, 202, 204, 404)
 DELETED = (200, 204, 404)  # after another answer to a DELETE, its own may still come
@@ -94,7 +94,7 @@
         self.on_open: Callable[[], None] | None = None
         self.fresh = False  # nothing was sent on it before
         self.quiet = 0  # from then on no second answer to the request before is to be expected
-        self.owed = False  # an answer that was taken may not have been its own, which is still to come then
+        self.owed_until = 0  # an answer that was taken may not have been its own, which may come until then
 
     def connectionMade(self) -> None:
         """Twisted: the connection is up."""
@@ -377,22 +377,29 @@
             connection.server.idle.remove(connection.number)
 
     def _idle(self, server: RealServer, sure: bool = False) -> ServerConnection | None:
-        """The connection used last, of those that are quiet if there are any; `sure`: of those alone, and
-        where no answer to an earlier request may still come."""
+        """The connection used last, of those that are quiet if there are any; `sure`: of those alone on which
+        no answer is owed, and one on which there is makes room for the new one."""
         now, idle, found = self._deadlines.now(), server.idle, -1
         for at in reversed(range(len(idle))):
             connection = self._connections.get(idle[at])
             if connection is None or not connection.open:
                 del idle[at]
                 found -= found > at
-            elif sure and connection.owed:
-                continue
+            elif sure and connection.owed_until > now:
+                del idle[at]
+                self._close(connection)
             elif connection.quiet <= now or not (sure or found >= 0):
                 found = at
                 if connection.quiet <= now:
                     break
         taken = self._connections.get(idle.pop(found)) if found >= 0 else None
-        if taken is not None and taken.patience is not None:
+        if taken is None:
+            return None
+        if peek(taken.transport) is not None:
+            # Guards against a second answer, or the connection's end, that came while the node was held up.
+            self._close(taken)
+            return self._idle(server, sure)
+        if taken.patience is not None:
             taken.patience.rest()
         return taken
 
@@ -504,7 +511,8 @@
         clean: Sequence[int] = CLEAN,
     ) -> Deferred[http.Message]:
         quiet = connection.quiet
-        sure = self._deadlines.now() >= quiet and not connection.owed
+        now = self._deadlines.now()
+        sure = now >= quiet and now >= connection.owed_until
         try:
             parts = message()
         except WithheldError:
@@ -524,7 +532,9 @@
         clean: Sequence[int],
     ) -> http.Message:
         answer.sure = sure
-        connection.owed |= self._deadlines.now() < quiet
+        if (now := self._deadlines.now()) < quiet:
+            # It may be to the request before: this one's own would be taken for the next one's.
+            connection.owed_until = now + self._limits.owed
         turned_away = clean is not DELETED and answer.header("x-turned-away") == "1"
         if answer.status in clean or turned_away:
             self._keep(connection)
@@ -644,10 +654,8 @@
         return dialled.addCallback(self._on, message, clean=DELETED)
 
     def _until_quiet(self, server: RealServer) -> int:
-        """Microseconds until a kept connection on which no answer is owed is quiet; 0 where there is none."""
-        kept = [
-            c for n in server.idle if (c := self._connections.get(n)) is not None and c.open and not c.owed
-        ]
+        """Microseconds until a kept connection is quiet; 0 where there is none."""
+        kept = [c for n in server.idle if (c := self._connections.get(n)) is not None and c.open]
         return max(1, min(c.quiet for c in kept) - self._deadlines.now()) if kept else 0
 
     def _after(self, wait: int) -> Deferred[Any]:
--- a/violetsaddle/net/transports.py
+++ b/violetsaddle/net/transports.py
@@ -7,6 +7,7 @@
 from __future__ import annotations
 
 import errno
+import socket
 from collections.abc import Callable
 from time import monotonic
 from typing import Any
@@ -40,6 +41,18 @@
     return len(transport.dataBuffer) - int(transport.offset) + int(transport._tempDataLen)
 
 
+def peek(transport: Any) -> bytes | None:
+    """A byte that lies in the kernel unread; empty: the other side has ended; None: nothing has come, or the
+    look has failed."""
+    try:
+        handle: socket.socket = transport.getHandle()
+        return handle.recv(1, socket.MSG_PEEK | socket.MSG_DONTWAIT)
+    except BlockingIOError:
+        return None
+    except OSError as error:
+        return b"" if error.errno in ENDED else None
+
+
 def why_lost(reason: Reason, transport: Any) -> str:
     """Why a connection ended, in a few words for the log; `reason` is that of `connectionLost`."""
     ended_by = getattr(transport, "ended_by", "")
