A failed call on the pair between a node's two processes is not the other one's end

The class of the incident, in hot upgrades (off by default): an error of recvmsg, as ENOBUFS, counted as the other process's end, so that both might serve; an error of send dropped what was said, a callback passed on among it.

Ruled out: ECONNRESET and EPIPE, which do tell of the end.

Change: only errors that tell of an end count as one; what was not sent is sent in the next turn.

--- a/violetsaddle/net/upgrade.py
+++ b/violetsaddle/net/upgrade.py
@@ -33,6 +33,7 @@
 from violetsaddle.net.edge import called, take_call
 from violetsaddle.net.limits import MS, SECOND
 from violetsaddle.net.node import Config, ConfigError, Node
+from violetsaddle.net.transports import ENDED
 
 PROTOCOL = 1
 PREFIX = 4  # bytes that hold a message's length
@@ -225,8 +226,9 @@
             return self._pair.send(data)
         except BlockingIOError:
             return 0
-        except OSError:
-            return len(data)  # nobody reads it; what they have said still lies here, and then their end
+        except OSError as error:
+            # Where nobody reads it, what they have said still lies here, and then their end.
+            return len(data) if error.errno in ENDED else 0
 
     def doRead(self) -> Any:
         """Twisted: takes in what has come; gives a reason once the other side has ended."""
@@ -234,8 +236,8 @@
             data, fds, _, _ = socket.recv_fds(self._pair, 65536, MOST_SOCKETS)
         except BlockingIOError:
             return None
-        except OSError:
-            return CONNECTION_LOST
+        except OSError as error:
+            return CONNECTION_LOST if error.errno in ENDED else None
         for fd in fds:
             os.set_inheritable(fd, False)
         self.fds += fds
