--- a/tests/soaked.py
+++ b/tests/soaked.py
@@ -1,7 +1,8 @@
 """Executors and clients that misbehave by a seed, and what they saw; `tests/test_soak.py` plays them.
 
-Executors take jobs and keep a record of what is out.  They lose a 202, answer twice, cut an answer, reset,
-hang for a while, turn jobs away or lose a DELETE.  Clients use their connections until the node ends."""
+Executors take jobs and keep a record of what is out.  They lose a 202, also with its connection, answer
+twice, cut an answer, reset, hang for a while, turn jobs away or lose a DELETE.  Clients use their connections
+until the node ends."""
 
 from __future__ import annotations
 
@@ -168,8 +169,11 @@
             await writer.drain()
             writer.close()
             return
+        if fate < 0.27:  # its 202 is lost with the connection, and the job runs
+            writer.transport.abort()
+            return
         writer.write(ACCEPTED)
-        if fate < 0.3:  # a second answer comes some milliseconds late
+        if fate < 0.33:  # a second answer comes some milliseconds late
             await asyncio.sleep(0.003)
             writer.write(ACCEPTED)
 
