--- a/tests/test_repeats.py
+++ b/tests/test_repeats.py
@@ -65,6 +65,22 @@
     wire.answer("204")
 
 
+def want_work(net: Net, servers: list[int], state: str = api.ACTIVE) -> None:
+    """Discovery tells that these want work or, where they drain, that they don't."""
+    net.listed(api.DIFF, **{f"s-{n}": (state, 0, n) for n in servers})
+
+
+def taken_at_the_only_one(spec: RequestClass) -> tuple[Net, Wire, list[int]]:
+    """Request a is taken, and the other servers drain: the connection that carried it, and these others."""
+    net = three(spec)
+    net.ask("a", 0, DEADLINE)
+    wire = up_and_written(net)
+    wire.answer("202")
+    others = [n for n in (1, 2, 3) if n != wire.at[1]]
+    want_work(net, others, api.DRAINING)
+    return net, wire, others
+
+
 def advance(net: Net, time: int) -> None:
     """In steps of a millisecond, as the reactor would turn."""
     for _ in range(time // MS):
@@ -134,16 +150,11 @@
 
 @pytest.mark.parametrize("second", ["turned away", "500"])
 def test_a_late_second_answer_is_no_turn_down_of_the_next_request(second: str) -> None:
-    net = three(RequestClass(200 * MS, DEADLINE, SAFE))
-    net.ask("a", 0, DEADLINE)
-    wire = up_and_written(net)
-    wire.answer("202")
-    others = [n for n in (1, 2, 3) if n != wire.at[1]]
-    net.listed(api.DIFF, **{f"s-{n}": (api.DRAINING, 0, n) for n in others})
+    net, wire, others = taken_at_the_only_one(RequestClass(200 * MS, DEADLINE, SAFE))
     net.ask("b", 0, DEADLINE)
     wire.flush()
     assert job_of(wire) == "b"
-    net.listed(api.DIFF, **{f"s-{n}": (api.ACTIVE, 0, n) for n in others})
+    want_work(net, others)
     wire.answer(second)  # to a: it comes some milliseconds late
     advance(net, 5 * MS)
     assert net.counters.get("odd_words") == 1, "b may run: it is given up first"
@@ -194,18 +205,13 @@
 
 def test_a_late_second_answer_does_not_confirm_a_delete() -> None:
     # It was taken for the DELETE's answer, and the next attempt left beside a job that nobody had given up.
-    net = three(RequestClass(200 * MS, DEADLINE, SAFE))
-    net.ask("a", 0, DEADLINE)
-    wire = up_and_written(net)
-    wire.answer("202")
-    others = [n for n in (1, 2, 3) if n != wire.at[1]]
-    net.listed(api.DIFF, **{f"s-{n}": (api.DRAINING, 0, n) for n in others})
+    net, wire, others = taken_at_the_only_one(RequestClass(200 * MS, DEADLINE, SAFE))
     advance(net, 74 * MS)
     net.ask("b", 0, DEADLINE)
     wire.flush()
     assert job_of(wire) == "b"
     wire.answer("202")
-    net.listed(api.DIFF, **{f"s-{n}": (api.ACTIVE, 0, n) for n in others})
+    want_work(net, others)
     advance(net, 8 * MS)  # the first has not started: it is given up
     assert net.counters.get("deletes") == 1
     wire.flush()
@@ -225,12 +231,7 @@
 
 
 def test_a_late_second_confirmation_confirms_no_other_delete() -> None:
-    net = three(RequestClass(200 * MS, DEADLINE, SAFE))
-    net.ask("a", 0, DEADLINE)
-    wire = up_and_written(net)
-    wire.answer("202")
-    others = [n for n in (1, 2, 3) if n != wire.at[1]]
-    net.listed(api.DIFF, **{f"s-{n}": (api.DRAINING, 0, n) for n in others})
+    net, wire, others = taken_at_the_only_one(RequestClass(200 * MS, DEADLINE, SAFE))
     advance(net, 30 * MS)
     net.ask("b", 0, DEADLINE)
     wire.flush()
@@ -311,17 +312,12 @@
 def test_a_late_acceptance_does_not_confirm_a_delete() -> None:
     # A second 202 to the job before is taken for the job's own, and the executor stands still.  Its 202 to
     # the job then comes while the DELETE is out on the same connection.
-    net = three(RequestClass(200 * MS, DEADLINE, SAFE))
-    net.ask("a", 0, DEADLINE)
-    wire = up_and_written(net)
-    wire.answer("202")
-    others = [n for n in (1, 2, 3) if n != wire.at[1]]
-    net.listed(api.DIFF, **{f"s-{n}": (api.DRAINING, 0, n) for n in others})
+    net, wire, others = taken_at_the_only_one(RequestClass(200 * MS, DEADLINE, SAFE))
     advance(net, 30 * MS)  # later than is foreseen
     net.ask("b", 0, DEADLINE)
     wire.flush()
     wire.answer("202")  # to a, for the second time
-    net.listed(api.DIFF, **{f"s-{n}": (api.ACTIVE, 0, n) for n in others})
+    want_work(net, others)
     net.call("a", f"s-{wire.at[1]}", "done")
     advance(net, 85 * MS)
     wire.flush()
