--- a/benchmarks/counting.py
+++ b/benchmarks/counting.py
@@ -71,6 +71,7 @@
     ("violetsaddle/gossip_codec", "module"),
     ("violetsaddle/net/reactor.py", "reactor"),
     ("violetsaddle/net/servers.py", "servers"),
+    ("violetsaddle/net/connections.py", "servers"),
     ("violetsaddle/net/deadlines.py", "deadlines"),
     ("sortedcontainers", "deadlines"),
     ("violetsaddle/net/counters.py", "counters"),
--- a/violetsaddle/net/configuration.py
+++ b/violetsaddle/net/configuration.py
@@ -19,11 +19,11 @@
 from violetsaddle.decide.subscription import MS, SECOND, Ask, Phase, State, Word
 from violetsaddle.interface import Settings, SettingsError
 from violetsaddle.net import http
+from violetsaddle.net.connections import BrokenError, NotConnectedError, ServerConnection, dial
 from violetsaddle.net.deadlines import Deadline
 from violetsaddle.net.disk import Disk, Elsewhere, File, in_thread
 from violetsaddle.net.node import Node
 from violetsaddle.net.peers import Peers
-from violetsaddle.net.servers import BrokenError, NotConnectedError, ServerConnection, dial
 from violetsaddle.operator import Configuration as Told
 from violetsaddle.store.files import DamagedError
 
--- a/violetsaddle/net/discovery.py
+++ b/violetsaddle/net/discovery.py
@@ -12,11 +12,12 @@
 
 from violetsaddle import interface as api
 from violetsaddle.net import http
+from violetsaddle.net.connections import BrokenError, NotConnectedError, ServerConnection, dial
 from violetsaddle.net.counters import Counters
 from violetsaddle.net.deadlines import Clock, Deadlines, Reactor
 from violetsaddle.net.limits import MS, Limits
 from violetsaddle.net.requests import Requests
-from violetsaddle.net.servers import BrokenError, NotConnectedError, ServerConnection, Servers, dial
+from violetsaddle.net.servers import Servers
 from violetsaddle.net.wall_clock import WallClock
 
 MOST_DOUBLINGS = 2  # of the time for an answer, after calls that were given up: 1.1 s, 2.2 s, 4.4 s
