Tests: a scenario that fails leaves no node behind

Cause: three nodes of subtests of test_gone that had failed half an hour before still ran, and probed the ports that their executors once had; the clean-up knew only the program started last. Ruled out: the program (with the three ended the counts agree).

Change: each program that a scenario starts has its own clean-up.

--- a/tests/scenario.py
+++ b/tests/scenario.py
@@ -76,6 +76,14 @@
     return f"127.0.0.1:{sock.getsockname()[1]}"
 
 
+def kill(program: subprocess.Popen[bytes]) -> None:
+    """Ends it, if it still runs."""
+    program.kill()
+    program.wait()
+    if program.stderr is not None:
+        program.stderr.close()
+
+
 class Line:
     """One connection, read message by message."""
 
@@ -173,6 +181,7 @@
             env={**env, **told, "RELAY_CONFIG": file.name},
         )
         self.addCleanup(self.end)
+        self.addCleanup(kill, self.program)  # another may stand in its place by then
 
     def operate(self, text: str) -> None:
         """Gives the program that is started next an operator file."""
