Counters of failed calls and dials have names in lower case

Seen: test_live::test_a_day_with_a_kill_and_a_restart fails: the lab's pattern for the line of counters knows lower case alone, and read none of them since calls_failed_recv_ECONNRESET stands among them. Operators' tools may do the same.

Ruled out: the counts, which were right.

--- a/violetsaddle/net/audit.py
+++ b/violetsaddle/net/audit.py
@@ -98,11 +98,11 @@
 
     def not_connected(self, server: str, why: str) -> None:
         """No connection to a server came up; `why`: the error's symbol, or a few words."""
-        self._counters.add(f"dials_failed_{why.replace(' ', '_')}")
+        self._counters.add(f"dials_failed_{why.replace(' ', '_').lower()}")
 
     def call_failed(self, call: str, error: str, **about: object) -> None:
         """A system call on a connection failed; `error`: its symbol; `about`: whose connection it is."""
-        self._counters.add(f"calls_failed_{call}_{error}")
+        self._counters.add(f"calls_failed_{call}_{error.lower()}")
         self._record("system call failed", call=call, error=error, **about)
 
     def _since(self, attempt: Recorded) -> int:
--- a/violetsaddle/net/peers.py
+++ b/violetsaddle/net/peers.py
@@ -64,7 +64,7 @@
 
     def call_failed(self, call: str, error: str) -> None:
         """A system call on its socket failed; `error`: its symbol."""
-        self._counters.add(f"calls_failed_{call}_{error}")
+        self._counters.add(f"calls_failed_{call}_{error.lower()}")
 
     def datagramReceived(self, data: bytes, addr: tuple[str, int]) -> None:
         """Twisted: a datagram; one from no peer or beyond the limit counts as bad."""
