Fix: requests were lost on idle connections that looked open as the node closed them

Cause: as its idle connections close, the node leaves off reading all of them in one turn, but Twisted ends each a turn later, one after the other. What a client sent until then was closed over, though its connection had shown no end. That time grows with the connections that close.

The test holds the node as the first of three has ended: the other two looked open.

Change: our side is shut at the moment at which the node looked for unread bytes and found none.

--- a/tests/test_closes.py
+++ b/tests/test_closes.py
@@ -15,6 +15,7 @@
 from tests.scenario import CLASSES, PATIENCE, Line, Scenario, address, listener
 
 CLOSE_SOON = "violetsaddle.net.edge:EdgeFactory.close_soon"
+ENDED = "violetsaddle.net.edge:EdgeConnection.connectionLost"
 LARGE = 60_000
 LAST = "POST /api | X-Txn: a | X-Lane: settle | X-Org: acme | X-Remaining: 9000m | Connection: close | | b"
 
@@ -151,6 +152,16 @@
         while struct.unpack_from("I", line.sock.getsockopt(socket.IPPROTO_TCP, socket.TCP_INFO, 104), 24)[0]:
             self.assertLess(time.monotonic(), until)
 
+    def test_idle_connections_looked_open_after_the_node_had_left_off_reading_them(self) -> None:
+        # What was sent on them then was closed over.
+        self.start_held(ENDED, settings=deadlines(500_000))
+        for name in ("c1", "c2", "c3"):
+            self.play(f"{name} send GET /up\n{name} expect 200")
+        self.play("node send TERM")
+        self.at(ENDED)  # the first has ended, in the turn in which all are to close
+        for name in ("c1", "c2", "c3"):
+            self.assertTrue(select.select([self.line(name).sock], [], [], 0)[0], f"{name} looks open")
+
     def test_told_to_end_during_its_imports(self) -> None:
         # SIGTERM then ended the program at once, and reset what had come since it listened.
         with listener() as found:
--- a/violetsaddle/net/edge.py
+++ b/violetsaddle/net/edge.py
@@ -22,7 +22,7 @@
 from violetsaddle.net.limits import MS, SECOND, Limits
 from violetsaddle.net.requests import Failure, Requests, UnfitError
 from violetsaddle.net.slots import SlotTable
-from violetsaddle.net.transports import peek, unsent
+from violetsaddle.net.transports import end_writing, peek, unsent
 
 try:
     from _blake2 import blake2b  # as hashlib would give it, which loads OpenSSL first
@@ -284,6 +284,7 @@
         """Closes at once: there is no answer to guard, and what crosses it stays unread, so that the client
         sends it again."""
         self._closing = True
+        end_writing(self.transport)
         self.transport.loseConnection()
         self._wait(self._shared.limits.edge_read)
 
--- a/violetsaddle/net/transports.py
+++ b/violetsaddle/net/transports.py
@@ -53,6 +53,17 @@
         return b"" if error.errno in ENDED else None
 
 
+def end_writing(transport: Any) -> None:
+    """Ends our side of a stream transport at once where all that was written has left.
+
+    Twisted does so a turn later; until then what the other side sends would be lost."""
+    if not unsent(transport):
+        try:
+            transport.getHandle().shutdown(socket.SHUT_WR)
+        except OSError:
+            return  # the connection is closed a turn later
+
+
 def why_lost(reason: Reason, transport: Any) -> str:
     """Why a connection ended, in a few words for the log; `reason` is that of `connectionLost`."""
     ended_by = getattr(transport, "ended_by", "")
