Fix: closing an idle connection was counted as a failed system call

Cause: Twisted writes zero bytes before it closes; since our side is shut first, that gave EPIPE.

Change: nothing is asked of the kernel for an empty write.

--- a/violetsaddle/net/transports.py
+++ b/violetsaddle/net/transports.py
@@ -130,6 +130,8 @@
 
     def writeSomeData(self, data: bytes) -> Any:
         """Twisted: gives how many bytes the kernel took, or the reason for which the connection has ended."""
+        if not data:
+            return 0  # Twisted asks so before it closes
         try:
             sent = self.socket.send(memoryview(data)[: self.SEND_LIMIT])
         except BlockingIOError:
