Fix: a DELETE overtook its job and confirmed that nothing ran, and a second copy went out

Cause: the attempt went out on a connection of its own, which the executor, held up, had not accepted yet. The DELETE went out on a kept connection, was read first and was answered 204. Then the job came.

Ruled out: the stand-in's record. It notes a job as it reads it, and a DELETE ends every copy that it has noted; a copy that is noted after its DELETE was answered came after it.

Change: where somebody waits, so that another attempt may follow, and the attempt's connection was made for it and never answered, the DELETE goes out on a new connection too: that is accepted later. A DELETE on a kept connection stays where the executor has answered the job or the connection was in use before. The connection is chosen by the caller of _exchange now, which so knows whether it is a new one.

--- a/tests/test_repeats.py
+++ b/tests/test_repeats.py
@@ -594,3 +594,26 @@
     for client, number in asked.values():
         assert (number < 0 or client.answers) and len([a for a in client.answers if a != "checked"]) < 2
     assert not net.faults
+
+
+def test_a_delete_overtook_its_job_and_confirmed_that_nothing_ran() -> None:
+    # It went out on a kept connection while the real server had not accepted the job's own.
+    net = three(RequestClass(200 * MS, DEADLINE, SAFE))
+    for number in range(6):
+        net.ask(f"j{number}", 0, DEADLINE)
+        up_and_written(net)
+    jobs = list(net.wires)
+    accepted = {wire.at[1]: wire for wire in reversed(jobs)}  # the first at each real server
+    for number, wire in accepted.items():
+        wire.answer("202")
+        net.call(job_of(wire), f"s-{number}", "done")
+    silent = [wire for wire in jobs if wire not in accepted.values()]
+    assert len(accepted) == 3 and silent
+    until = net.now + SECOND
+    while not all(wire.aborted for wire in silent) and net.now < until:
+        advance(net, MS)
+    advance(net, 30 * MS)
+    for wire in net.live():
+        wire.flush()
+    assert all(wire.aborted for wire in silent)
+    assert not [wire.message for wire in accepted.values() if wire.message.startswith(b"DELETE")]
--- a/violetsaddle/net/release.py
+++ b/violetsaddle/net/release.py
@@ -13,7 +13,7 @@
 from twisted.internet.defer import CancelledError, Deferred
 from twisted.python.failure import Failure as Reason
 
-from violetsaddle.decide.proof import Release, confirms_release
+from violetsaddle.decide.proof import Life, Release, confirms_release
 from violetsaddle.net import http
 from violetsaddle.net.counters import Counters
 from violetsaddle.net.deadlines import Deadlines
@@ -82,12 +82,13 @@
 
     def _delete(self, releasing: _Releasing[S]) -> None:
         releasing.tries += 1
-        first, server, job = releasing.tries == 1, releasing.server, releasing.attempt.job
+        server, job = releasing.server, releasing.attempt.job
+        fresh = releasing.tries > 1 or self._overtakes(releasing.attempt)
         deleting = self._sender.deliver(
-            server, lambda: [http.request("DELETE", f"/jobs/{job}", server.address)], fresh=not first
+            server, lambda: [http.request("DELETE", f"/jobs/{job}", server.address)], fresh
         )
-        # The first goes out on a kept connection, which may have fallen silent.
-        soon = releasing.broken or (first and self._requests.waits(releasing.attempt))
+        # A kept connection may have fallen silent.
+        soon = releasing.broken or (not fresh and self._requests.waits(releasing.attempt))
         wait = self._limits.delete_first if soon else self._limits.give_up
         late = self._deadlines.after(wait, deleting.cancel)
 
@@ -97,6 +98,13 @@
 
         deleting.addBoth(over)
 
+    def _overtakes(self, attempt: Attempt) -> bool:
+        """Whether a DELETE on a kept connection may be read before the job and another attempt may follow.
+
+        A server that has not answered may not have accepted the job's own connection.  One that is made after
+        it is accepted after it."""
+        return attempt.dialled and attempt.life is Life.SENT and self._requests.waits(attempt)
+
     def _over(self, releasing: _Releasing[S], result: Any) -> None:
         """A DELETE has its answer, or a `Reason` why there is none."""
         detail = self._sender.why(result) if isinstance(result, Reason) else str(result.status)
--- a/violetsaddle/net/requests.py
+++ b/violetsaddle/net/requests.py
@@ -78,6 +78,7 @@
         "effect",
         "may_cancel",
         "real",
+        "dialled",
         "doubt",
         "last_life",
         "outcome",
@@ -98,6 +99,7 @@
         self.ticket: Deferred[Any] | None = None  # what carries it, while it does
         self.name = ""  # the real server's, as in its callbacks
         self.real: object = None  # what its carrier knows it by: the list may have dropped it meanwhile
+        self.dialled = False  # a connection was made for it
         self.last_life, self.outcome = Life.UNSENT, ""  # how far it had come as it ended, and its outcome
         self.release = Release.NONE
         self.doubt = ""  # why it would start late, as far as could be seen (`Tally`)
--- a/violetsaddle/net/servers.py
+++ b/violetsaddle/net/servers.py
@@ -244,19 +244,17 @@
     def _exchange(
         self,
         server: RealServer,
+        kept: ServerConnection | None,
         message: Callable[[], Sequence[bytes]],
         on_written: Callable[[], None] | None = None,
-        fresh: bool = False,
         clean: Sequence[int] = CLEAN,
-        sure: bool = False,
     ) -> Deferred[http.Message]:
         """Sends a message made once there is a connection; fails with `NotConnectedError` or `BrokenError`.
-        `clean`: after which answers the connection is kept; `sure`: no other answer may be taken for this
-        one's."""
-        connection = None if fresh else self._idle(server, sure)
-        if connection is not None:
+        `kept`: the connection from `_idle` to use, None: a new one; `clean`: after which answers the
+        connection is kept."""
+        if kept is not None:
             try:
-                return self._on(connection, message, on_written, clean)
+                return self._on(kept, message, on_written, clean)
             except WithheldError:
                 return fail()
         dialled: Deferred[Any] = self._connect(server)
@@ -334,13 +332,11 @@
         def written() -> None:
             self._requests.word(attempt, Word.WRITTEN)
 
+        fresh = attempt.effect == api.UNSAFE or self._deadlines.now() < self._doubt_until
+        kept = None if fresh else self._idle(server, sure=attempt.effect != api.SAFE)
+        attempt.dialled = kept is None
         ticket = attempt.ticket = self._exchange(
-            server,
-            partial(self._message, attempt, server, order, until),
-            written,
-            fresh=attempt.effect == api.UNSAFE or self._deadlines.now() < self._doubt_until,
-            clean=(202,),
-            sure=attempt.effect != api.SAFE,
+            server, kept, partial(self._message, attempt, server, order, until), written, clean=(202,)
         )
         ticket.addCallbacks(self._answered, self._not_carried, (attempt,), errbackArgs=(attempt,))
         ticket.addErrback(self._failed)
@@ -435,7 +431,9 @@
             self._requests.probed(server, False, None)
             return
         host = real.address
-        probing = self._exchange(real, lambda: [http.request("GET", self._probe_path, host)])
+        probing = self._exchange(
+            real, self._idle(real), lambda: [http.request("GET", self._probe_path, host)]
+        )
         late = self._deadlines.after(self._limits.probe, probing.cancel)
 
         def told(answer: http.Message) -> None:
