Callbacks and job headers leave edge.py; unread times cost less on the plain path

Measured: test_guard, test_remaining, test_node, test_closes, test_gone, test_sim, test_live, test_upgrade, test_upgrade_life, test_repeats, test_attacked, test_judge pass.

--- a/tests/wired.py
+++ b/tests/wired.py
@@ -10,10 +10,11 @@
 from twisted.python.failure import Failure as Reason
 
 from violetsaddle import interface as api
+from violetsaddle.net.callbacks import take_call
 from violetsaddle.net.connections import ServerConnection
 from violetsaddle.net.counters import Counters
 from violetsaddle.net.deadlines import Deadlines
-from violetsaddle.net.edge import FOREVER, Shared, take_call
+from violetsaddle.net.edge import FOREVER, Shared
 from violetsaddle.net.limits import Limits
 from violetsaddle.net.requests import Failure, Requests
 from violetsaddle.net.servers import Servers
--- a/violetsaddle/net/edge.py
+++ b/violetsaddle/net/edge.py
@@ -2,47 +2,27 @@
 
 from __future__ import annotations
 
-import json
-import re
 from collections.abc import Callable, Sequence
 from dataclasses import dataclass, field
 from heapq import heapify, heappop
-from typing import Any
-from urllib.parse import parse_qsl
 
 from twisted.internet.interfaces import IAddress
 from twisted.internet.protocol import Factory, Protocol, connectionDone
 from twisted.python.failure import Failure as Reason
 
 from violetsaddle import interface as api
-from violetsaddle.decide.proof import Word
 from violetsaddle.net import http
 from violetsaddle.net.arrivals import Arrivals
+from violetsaddle.net.callbacks import called, take_call
 from violetsaddle.net.counters import Counters
 from violetsaddle.net.deadlines import Deadlines, Patience, Transport
-from violetsaddle.net.limits import MS, SECOND, Limits
+from violetsaddle.net.job_headers import ID, estimate, labelled, remaining, subject
+from violetsaddle.net.limits import SECOND, Limits
 from violetsaddle.net.requests import Failure, Requests, UnfitError
 from violetsaddle.net.slots import SlotTable
 from violetsaddle.net.transports import end_writing, peek, unread_for, unsent
 
-try:
-    from _blake2 import blake2b  # as hashlib would give it, which loads OpenSSL first
-except ImportError:
-    from hashlib import blake2b
-
-UNITS = {"m": MS, "u": 1}
 FOREVER = 1 << 62
-ID = re.compile("[!-~]+")
-STATES = {
-    "started": Word.STARTED,
-    "running": Word.STARTED,
-    "done": Word.DONE,
-    "failed": Word.FAILED,
-    "returned": Word.RETURNED,
-    "lost": Word.LOST,
-}
-
-
 NOT_PASSED_ON = http.HOP_BY_HOP | {"x-remaining"}
 
 
@@ -79,77 +59,6 @@
     connections: SlotTable[EdgeConnection] = field(default_factory=SlotTable)
 
 
-def remaining(text: str | None) -> int:
-    """Microseconds of `480m` or `9000u`; raises `UnfitError`."""
-    number, unit = (text or "")[:-1], (text or "")[-1:]
-    if unit not in UNITS or not number.isascii() or not number.isdigit() or len(number) > 12:
-        raise UnfitError("X-Remaining is missing or no time")
-    return int(number) * UNITS[unit]
-
-
-def estimate(text: str | None) -> int:
-    """Microseconds of work that the client guesses; 0 where it gives none that can be read."""
-    number = text or ""
-    return int(number) if number.isascii() and number.isdigit() and len(number) <= 12 else 0
-
-
-def labelled(text: str | None, name: str, default: float) -> float:
-    """The number of `name=number` in a list of labels, else `default`; raises `UnfitError` for one that is no
-    number, or is outside 0 to 1024."""
-    for pair in (text or "").split(","):
-        key, _, value = pair.partition("=")
-        if key.strip() == name:
-            try:
-                number = float(value)
-            except ValueError:
-                raise UnfitError(f"the label {name} is no number") from None
-            if not 0 < number <= 1024:
-                raise UnfitError(f"the label {name} is out of range")
-            return number
-    return default
-
-
-def subject(query: str) -> int | None:
-    """The number that stands for what the request is about, the same at every node."""
-    for name, value in parse_qsl(query) if "sid=" in query else ():
-        if name == "sid":
-            return int.from_bytes(blake2b(value.encode(), digest_size=8).digest(), "big") >> 11
-    return None
-
-
-def called(body: bytes) -> dict[str, Any]:
-    """A real server's callback; raises `ValueError` where it is none."""
-    try:
-        call: Any = json.loads(body)
-        job, name, state = call["id"], call["from"], call["state"]
-    except (ValueError, KeyError, TypeError, RecursionError) as error:
-        raise ValueError("not a callback") from error
-    if not (isinstance(call, dict) and all(isinstance(text, str) for text in (job, name, state))):
-        raise ValueError("not a callback")
-    return call
-
-
-def take_call(shared: Shared, call: dict[str, Any]) -> None:
-    """What a real server tells of an attempt; its reply is out already."""
-    attempt, state = shared.requests.find(call["id"], call["from"]), call["state"]
-    result, word = call.get("result"), STATES.get(call["state"])
-    share = call.get("share") if state == "running" else 0.0
-    if word is None or not isinstance(share, (int, float)) or not 0 <= share <= 1:
-        shared.counters.add("bad_callbacks")
-        return
-    if word is Word.DONE and not isinstance(result, str):
-        word = Word.FAILED  # it ran, but there is nothing of its own to pass on
-    if attempt is None or not shared.requests.word(
-        attempt,
-        word,
-        shared.report(call.get("load")),
-        result.encode("utf-8", "surrogatepass") if isinstance(result, str) else None,
-    ):
-        shared.counters.add("callbacks_unmatched")
-    elif word is Word.STARTED:
-        shared.requests.noted(attempt, api.PROGRESS if state == "running" else api.STARTED, float(share))
-
-
 class EdgeConnection(Protocol):
     """One client's (or calling real server's) connection; it carries one request at a time."""
 
@@ -159,7 +68,8 @@
         """`spare`: beyond the limit, for real servers' calls alone; a request is turned down there."""
         self._shared, self._home, self._spare = shared, home, spare
         self._parser = http.Parser(shared.limits, shared.limits.body)
-        self._arrivals = Arrivals()
+        self._late = 0  # microseconds for which what was read last had lain unread
+        self._waiting: Arrivals | None = None  # of bytes read before what is taken now
         self.number = -1
         self._request = -1
         self._awaited = False  # a request's final answer is still to come
@@ -199,12 +109,11 @@
 
     def _unread_for(self) -> int:
         """Microseconds for which what was read just now has lain unread, where this node was held up."""
-        unseen, behind = self._shared.limits.unseen, self._shared.behind()
+        behind = self._shared.behind()
         if self._unread_since is not None:
             behind = max(behind, self._shared.deadlines.now() - self._unread_since)
             self._unread_since = None
-        waited = min(behind, unread_for(self.transport)) if behind > unseen else 0
-        return waited if waited > unseen else 0
+        return min(behind, unread_for(self.transport)) if behind > self._shared.limits.unseen else 0
 
     def left(self) -> bool:
         """As `requests.Client.left`."""
@@ -249,7 +158,9 @@
                 connection.timed_out()
 
         self._patience = Patience(self._shared.deadlines, due)
-        self._unread_since = self._shared.deadlines.now() - self._shared.behind()
+        behind = self._shared.behind()
+        if behind > self._shared.limits.unseen:
+            self._unread_since = self._shared.deadlines.now() - behind
         self._shared.counters.add("edge_connections")
         self._wait(self._shared.limits.edge_first)
 
@@ -352,7 +263,9 @@
             return
         fresh = fresh or not self._parser.held
         self._parser.feed(data)
-        self._arrivals.came(len(data), self._shared.deadlines.now() - self._unread_for())
+        self._late = self._unread_for()
+        if self._awaited or self._waiting is not None:
+            self._wait_here(len(data))
         if self._awaited:
             # A client sends one request at a time; what it sends ahead waits, within bounds, and the rest is
             # passed over.  Left to the kernel it would hide that the client goes; to close instead would lose
@@ -429,9 +342,26 @@
                 return
             self._early, self._continued, fresh, self._first = self._first, False, True, False
             self._close_next = self._close_next or not message.keeps_alive
-            self._take(message, self._arrivals.of_message(self._parser.held))
-
-    def _take(self, message: http.Message, came: int) -> None:
+            waited = self._late if self._waiting is None else self._waited()
+            if self._parser.held and self._waiting is None:
+                self._wait_here(self._parser.held)
+            self._take(message, waited)
+
+    def _wait_here(self, size: int) -> None:
+        """So many bytes that were read last may wait for the end of the present request."""
+        if self._waiting is None:
+            self._waiting = Arrivals()
+        self._waiting.came(size, self._shared.deadlines.now() - self._late)
+
+    def _waited(self) -> int:
+        """Microseconds since the last byte of the message came that was taken just now."""
+        assert self._waiting is not None
+        came = self._waiting.of_message(self._parser.held)
+        if not self._parser.held:
+            self._waiting = None
+        return self._shared.deadlines.now() - came
+
+    def _take(self, message: http.Message, waited: int) -> None:
         path, _, query = message.start[1].partition("?")
         wanted = {"/api": "POST", "/callback": "POST", "/up": "GET"}.get(path)
         if wanted is None:
@@ -446,19 +376,17 @@
             self.calls_back = True
             self._call(message)
         else:
-            self._ask(message, query, came)
+            self._ask(message, query, waited)
 
-    def _ask(self, message: http.Message, query: str, came: int) -> None:
+    def _ask(self, message: http.Message, query: str, waited: int) -> None:
         limits = self._shared.limits
         try:
             job, cls = message.header("x-txn") or "", message.header("x-lane")
             if not ID.fullmatch(job) or len(job) > limits.identity:
                 raise UnfitError("X-Txn is missing or no id")
             time = remaining(message.header("x-remaining"))
-            waited = self._shared.deadlines.now() - came
-            if time > 0 and waited > 0:
+            if waited > limits.unseen and time > 0:
                 time = max(1, time - waited)
-            if waited > limits.unseen:
                 self._shared.counters.add("requests_waited")  # unread, or behind others of their connection
             slots = labelled(message.header("x-labels"), "slots", 1.0)
             if cls is None:
--- a/violetsaddle/net/upgrade.py
+++ b/violetsaddle/net/upgrade.py
@@ -28,9 +28,9 @@
 from violetsaddle.decide import upgrade as decide
 from violetsaddle.decide.memory import Listing
 from violetsaddle.decide.upgrade import Do, Event, New, Old
+from violetsaddle.net.callbacks import called, take_call
 from violetsaddle.net.deadlines import Deadline, Deadlines, Reactor
 from violetsaddle.net.early import SUCCESSOR
-from violetsaddle.net.edge import called, take_call
 from violetsaddle.net.limits import MS, SECOND
 from violetsaddle.net.node import Config, ConfigError, Node
 from violetsaddle.net.transports import ENDED
