--- a/review/standins.py
+++ b/review/standins.py
@@ -8,7 +8,6 @@
 import asyncio
 import json
 import os
-import signal
 import socket
 import subprocess
 import sys
@@ -107,31 +106,20 @@
 
 
 class Discovery:
-    """The list of executors, asked for by long polls.
+    """The list of executors, asked for by long polls.  `zone`: of those that are put next."""
 
-    `turn`: seconds that a call waits for its turn.  One whose caller has left is over."""
-
-    def __init__(self, record: Record, name: str = "discovery", zone: str = "hall-a") -> None:
-        self.record, self.name, self.zone, self.turn = record, name, zone, 0.0
+    def __init__(self, record: Record) -> None:
+        self.record, self.zone = record, "hall-a"
         self.version, self.entries = 1, {}  # type: int, dict[str, dict[str, Any]]
         self._changed: dict[str, int] = {}
         self._news: asyncio.Future[None] = asyncio.get_running_loop().create_future()
         self._server: asyncio.Server | None = None
-        self._lines: set[asyncio.StreamWriter] = set()
         self.port = 0
 
     async def start(self) -> None:
         self._server = await asyncio.start_server(self._serve, HOST, 0)
         self.port = self._server.sockets[0].getsockname()[1]
 
-    async def close(self, after: float) -> None:
-        """Takes no new connection from now on, and closes the open ones so many seconds later."""
-        assert self._server is not None
-        self._server.close()
-        await asyncio.sleep(after)
-        for writer in list(self._lines):
-            writer.close()
-
     def put(self, name: str, port: int, state: str = "up", started_ms: int = 0) -> None:
         self.version += 1
         self.entries[name] = {
@@ -139,7 +127,7 @@
             "state": state, "weight": 1.0, "started_ms": started_ms,
         }
         self._changed[name] = self.version
-        self.record.say(f"{self.name}: {name} is {state}, version {self.version}")
+        self.record.say(f"discovery: {name} is {state}, version {self.version}")
         self._news.set_result(None)
         self._news = asyncio.get_running_loop().create_future()
 
@@ -150,38 +138,24 @@
         return {"version": self.version, "full": after < 0, "servers": chosen}
 
     async def _serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
-        self._lines.add(writer)
         try:
             while True:
                 line, _, _, _ = await read_message(reader)
                 query = dict(p.partition("=")[::2] for p in line.split(" ")[1].partition("?")[2].split("&"))
                 after = int(query.get("after") or -1)
                 came = now()
-                if self.turn and not await self._has_turn(reader):
-                    self.record.say(f"{self.name}: call after={after} that came at {came:.4f} is given up")
-                    return
                 until = now() + int(query.get("wait_ms") or 0) / 1000
                 while 0 <= after and self.version <= after and now() < until:
                     await asyncio.wait([self._news], timeout=max(0.001, until - now()))
                 body = json.dumps(self.listing(after)).encode()
                 writer.write(message("HTTP/1.1 200 OK", body))
-                self.record.say(f"{self.name}: call after={after} that came at {came:.4f} is answered")
+                self.record.say(f"discovery: call after={after} that came at {came:.4f} is answered")
         except (asyncio.IncompleteReadError, ConnectionError, asyncio.CancelledError):
             pass
         finally:
             writer.close()
 
 
-    async def _has_turn(self, reader: asyncio.StreamReader) -> bool:
-        """Waits for the call's turn; False once its caller has left."""
-        until = now() + self.turn
-        while now() < until:
-            if reader.at_eof() or reader.exception() is not None:
-                return False
-            await asyncio.sleep(min(0.01, max(0.0, until - now())))
-        return True
-
-
 class Job:
     """One attempt as an executor saw it."""
 
@@ -200,7 +174,6 @@
         self._calls: asyncio.Queue[dict[str, Any]] = asyncio.Queue()
         self._caller: asyncio.Task[None] | None = None
         self._server: asyncio.Server | None = None
-        self._lines: set[asyncio.StreamWriter] = set()
         self.port = 0
         # Seconds of running and the state that is reported at the end; None: nothing is.
         self.plan: Callable[[Job], tuple[float, str | None]] = lambda job: (self.run, "done")
@@ -210,21 +183,7 @@
         self.port = self._server.sockets[0].getsockname()[1]
         self._caller = asyncio.create_task(self._call())
 
-    async def end(self) -> None:
-        """The process ends: what it has is lost, its connections close."""
-        if self._server is not None:
-            self._server.close()
-        for task in [*self.open.values(), *([self._caller] if self._caller else [])]:
-            task.cancel()
-        for job in self.jobs:
-            if job.executor == self.name and not job.ended:
-                job.ended = "lost"
-                self.record.say(f"{self.name}: ends and loses job {job.id} ({job.lane})")
-        for writer in list(self._lines):
-            writer.transport.abort()
-
     async def _serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
-        self._lines.add(writer)
         try:
             while True:
                 line, headers, _, at = await read_message(reader)
@@ -232,7 +191,6 @@
         except (asyncio.IncompleteReadError, ConnectionError, asyncio.CancelledError):
             pass
         finally:
-            self._lines.discard(writer)
             writer.close()
 
     def _answer(self, line: str, headers: dict[str, str], at: float) -> bytes:
@@ -337,8 +295,8 @@
 class Node:
     """The program, started by the command of the deploy file."""
 
-    def __init__(self, record: Record, folder: Path, config: dict[str, Any], **told: str) -> None:
-        self.record, self.config, self.folder, self.told = record, config, folder, told
+    def __init__(self, record: Record, folder: Path, config: dict[str, Any]) -> None:
+        self.record, self.config, self.folder = record, config, folder
         self.path = folder / f"{config['name']}.json"
         self.process: subprocess.Popen[bytes] | None = None
         self.started = 0.0
@@ -347,20 +305,14 @@
     def port(self) -> int:
         return int(self.config["listen"].rpartition(":")[2])
 
-    def write(self, **changes: Any) -> None:
-        self.config.update(changes)
-        fresh = self.path.with_suffix(".new")
-        fresh.write_text(json.dumps(self.config), encoding="utf-8")
-        os.replace(fresh, self.path)
-
     def start(self) -> None:
-        self.write()
+        self.path.write_text(json.dumps(self.config), encoding="utf-8")
         with open(ROOT / "deploy" / "balancer.toml", "rb") as file:
             command = tomllib.load(file)["run"]
         env = {k: v for k, v in os.environ.items() if not k.startswith("RELAY_")}
         env.update(
             RELAY_CONFIG=str(self.path), RELAY_NAME=self.config["name"], RELAY_LISTEN=self.config["listen"],
-            RELAY_DISCOVERY=self.config["discovery"], TMPDIR=str(self.folder), **self.told,
+            RELAY_DISCOVERY=self.config["discovery"], TMPDIR=str(self.folder),
         )
         with open(self.folder / f"{self.config['name']}.log", "ab") as log:
             self.process = subprocess.Popen(
@@ -370,11 +322,6 @@
         self.started = now()
         self.record.say(f"node {self.config['name']}: starts as process {self.process.pid}")
 
-    def signal(self, number: signal.Signals) -> None:
-        assert self.process is not None
-        self.record.say(f"node {self.config['name']}: {number.name}")
-        self.process.send_signal(number)
-
     def ended(self) -> bool:
         return self.process is None or self.process.poll() is not None
 
