Parser: chunk lines and trailers are dropped as they are read, and counted

Cause: `_read_chunks` moved the content together but left the lines in the buffer until the message was complete. The limit of a body counts content, that of a line one line; nothing counted their sum, up to 1 GB for one message.

Change: `net/body.py` reads bodies that are chunked or end with the connection, and removes framing from the buffer as it goes, so that the buffer holds the head, the content and one line at most. The lines of one body may be 16 MiB, or 8 bytes for each byte of the largest body where that is more; beyond it 413. Malformed answers of real servers are counted (`bad_answers`). A trailer after many small chunks was refused with 431, as all framing counted as trailers; it is served now.

--- /dev/null
+++ b/tests/test_held_bytes.py
@@ -0,0 +1,165 @@
+"""What clients and real servers send is held in bounded memory, for all connections together.
+
+Each test plays a node with real connections and measures the process's peak of resident memory.  The bounds
+are those of `docs/architecture.md`, "Memory"."""
+
+from __future__ import annotations
+
+import re
+import socket
+import threading
+from collections.abc import Iterable, Sequence
+
+from hypothesis import given
+from hypothesis import strategies as st
+
+from tests.scenario import PATIENCE, Scenario
+from violetsaddle.net import http
+from violetsaddle.net.limits import MIB, Limits
+
+KIB = 1024
+READ = 64 * KIB  # bytes that one read takes at most
+# What Python and the allocator take beside the bytes that are counted, for a few hundred connections.
+SLACK = 6 * MIB
+CONNECTION_OBJECTS = 12 * KIB  # of one connection: protocol, transport, parser, timers
+LIMITS = Limits(600, 320, 1, 1)
+HEAD = (
+    b"POST /api HTTP/1.1\r\nHost: n\r\nX-Txn: %s\r\nX-Lane: quote\r\nX-Org: acme\r\nX-Remaining: 20000m\r\n"
+)
+CHUNKED = HEAD + b"Transfer-Encoding: chunked\r\n\r\n"
+SIZED = HEAD + b"Content-Length: %d\r\n\r\n"
+LONG_EXTENSION = b"1;note=" + b"y" * 16_000 + b"\r\nz\r\n"  # one byte of content
+
+
+def send(client: socket.socket, pieces: Iterable[bytes]) -> None:
+    """Sends until the node closes the connection."""
+    try:
+        for piece in pieces:
+            client.sendall(piece)
+    except OSError:
+        pass
+
+
+def status(client: socket.socket) -> int:
+    """The status of the next answer; 0 where the connection ends without one."""
+    try:
+        return int(client.recv(65536)[9:12] or 0)
+    except OSError:
+        return 0
+
+
+class Memory(Scenario):
+    def client(self) -> socket.socket:
+        client = socket.create_connection(("127.0.0.1", self.port), PATIENCE)
+        self.addCleanup(client.close)
+        return client
+
+    def clients(self, count: int) -> list[socket.socket]:
+        return [self.client() for _ in range(count)]
+
+    def in_parallel(self, clients: Sequence[socket.socket], pieces: Sequence[Sequence[bytes]]) -> None:
+        senders = [threading.Thread(target=send, args=pair) for pair in zip(clients, pieces)]
+        for sender in senders:
+            sender.start()
+        for sender in senders:
+            sender.join()
+
+    def resident(self, field: str) -> int:
+        with open(f"/proc/{self.program.pid}/status", encoding="ascii") as file:
+            found = re.search(rf"{field}:\s+(\d+) kB", file.read())
+        assert found is not None
+        return int(found[1]) * KIB
+
+    def measure(self) -> None:
+        """From now on the peak counts."""
+        with open(f"/proc/{self.program.pid}/clear_refs", "w", encoding="ascii") as file:
+            file.write("5")
+        self.before = self.resident("VmRSS")
+
+    def grown_at_most(self, bound: int) -> None:
+        grown = self.resident("VmHWM") - self.before
+        self.assertLessEqual(grown, bound, f"grew by {grown / MIB:.1f} MiB, {bound / MIB:.1f} MiB allowed")
+
+    def serves(self, job: str) -> None:
+        """A usual request is served."""
+        self.play(f"""
+            c-{job} send job {job} quote
+            s expect ~X-Txn: {job}
+            of-{job} send 202
+            of-{job} call+ {job} done result=fine
+            c-{job} expect 200 | fine
+        """)
+
+    def counted(self, name: str) -> int:
+        self.play("node send USR1")
+        line = self.log("counters")[0]
+        found = re.search(rf" {name}=(\d+)", line)
+        return int(found[1]) if found else 0
+
+    def test_chunk_extensions_of_bad_clients_are_not_held(self) -> None:
+        # A node was killed for its memory: every byte of chunk lines was kept until the message was complete.
+        self.start()
+        self.serves("a")
+        self.measure()
+        bad = self.clients(5)
+        body = [CHUNKED % b"bad", *[LONG_EXTENSION] * 2500]  # 40 MB
+        self.in_parallel(bad, [body] * len(bad))
+        self.assertLessEqual({status(client) for client in bad}, {408, 413})
+        self.serves("b")
+        self.grown_at_most(len(bad) * (LIMITS.head + LIMITS.body + 2 * READ) + SLACK)
+
+    def test_messages_in_every_form_of_chunks_are_served(self) -> None:
+        self.start(servers=1)
+        whole = bytes(97 + n % 26 for n in range(LIMITS.body))
+        plain = b"".join(b"1\r\n%c\r\n" % byte for byte in whole)
+        extended = b"".join(b"%x ;a=b;c\r\n%s\r\n" % (50, whole[n : n + 50]) for n in range(0, 65500, 50))
+        long = b"".join(LONG_EXTENSION[:-3] + b"%c\r\n" % byte for byte in whole[:200])
+        trailers = b"X-Sum: 1\r\nX-Note: " + b"t" * 10_000 + b"\r\n"
+        forms = (
+            (whole, plain + b"0\r\n\r\n"),
+            (whole, plain + b"0\r\n" + trailers + b"\r\n"),
+            (whole[:65500], extended + b"000;last\r\n" + trailers + b"\r\n"),
+            (whole[:200], long + b"0\r\n\r\n"),
+            (whole, b"%X\r\n%s\r\n0\r\n\r\n" % (len(whole), whole)),
+        )
+        for number, (body, chunks) in enumerate(forms):
+            job = f"form{number}"
+            send(self.line(f"c-{job}").sock, [CHUNKED % job.encode() + chunks])
+            heard = self.next_heard(["~POST /api"])
+            self.assertEqual(heard.partition("\r\n\r\n")[2].encode(), body, job)
+            self.play(f"s send 202\ns call+ {job} done result=fine\nc-{job} expect 200 | fine")
+
+    def test_answers_of_real_servers_without_end_are_not_held(self) -> None:
+        # The same parser reads them: one answer took a node to 682 MB.
+        self.start(servers=1)
+        self.serves("a")
+        self.measure()
+        answer = b"HTTP/1.1 202 Accepted\r\nTransfer-Encoding: chunked\r\n\r\n"
+        for number in range(3):
+            self.play(f"c{number} send job bad{number} settle\ns expect ~X-Txn: bad{number}")
+            self.line("s").sock.settimeout(3)
+            send(self.line("s").sock, [answer, *[LONG_EXTENSION] * 2500])
+        self.grown_at_most(3 * (2 * LIMITS.head + 2 * READ) + SLACK)
+        self.assertGreater(self.counted("bad_answers"), 0)
+
+
+@given(st.binary(max_size=300), st.lists(st.integers(0, 2000), max_size=20), st.integers(1, 40), st.data())
+def test_chunks_in_any_pieces_give_the_body(
+    body: bytes, cuts: list[int], size: int, data: st.DataObject
+) -> None:
+    extension = data.draw(st.sampled_from([b"", b";a=b", b" ; long=" + b"y" * 60]))
+    chunks = b"".join(
+        b"%x%s\r\n%s\r\n" % (len(part), extension, part)
+        for part in (body[at : at + size] for at in range(0, len(body), size))
+    )
+    sent = CHUNKED % b"a" + chunks + b"0\r\nX-Sum: 1\r\n\r\nGET"
+    parser, pieces = (
+        http.Parser(LIMITS, LIMITS.body),
+        sorted({0, len(sent), *(c for c in cuts if c < len(sent))}),
+    )
+    message = None
+    for begin, end in zip(pieces, pieces[1:]):
+        parser.feed(sent[begin:end])
+        message = message or parser.next()
+        assert parser.held <= len(CHUNKED) + len(body) + 80 + end - begin
+    assert message is not None and bytes(message.body) == body and parser.held == 3
--- a/violetsaddle/net/http.py
+++ b/violetsaddle/net/http.py
@@ -7,14 +7,17 @@
 
 import re
 
+from violetsaddle.net.body import BodyReader, ChunkedBody, SizedBody, UnsizedBody
+from violetsaddle.net.body import MalformedError as MalformedError
 from violetsaddle.net.limits import Limits
 
 HEAD_END = b"\r\n\r\n"
 # A header line: the name is a token, the value has no control characters except tabs.
 HEADER_LINE = re.compile(rb"([!#$%&'*+\-.^_`|~0-9A-Za-z]+):([^\x00-\x08\x0a-\x1f\x7f]*)\r\n")
+MAX_SLACK = 16 * 1024  # bytes that a buffer may occupy beyond those in it
+NO_BODY_STATUS = re.compile("1..|204|304")
 CONTINUE = b"HTTP/1.1 100 Continue" + HEAD_END
 CONTROL_CHARACTERS = frozenset(range(0x20)) - {0x09} | {0x7F}
-HEX_DIGITS = frozenset(b"0123456789abcdefABCDEF")
 REASONS = {
     200: "OK",
     202: "Accepted",
@@ -31,6 +34,7 @@
     504: "Gateway Timeout",
     505: "HTTP Version Not Supported",
 }
+FRAMING_HEADERS = frozenset(("content-length", "transfer-encoding", "host"))
 HOP_BY_HOP = frozenset(
     (
         "connection",
@@ -49,15 +53,6 @@
 )
 
 
-class MalformedError(Exception):
-    """The received bytes are not an acceptable message."""
-
-    def __init__(self, status: int, text: str) -> None:
-        """`status`: the HTTP status to answer with; `text`: what is wrong, the body of that answer."""
-        super().__init__(text)
-        self.status, self.text = status, text
-
-
 # Cache of header names in lower case: the same few names come with every message.
 _LOWER_NAMES: dict[bytes, str] = {}
 _MAX_CACHED_NAMES = 256
@@ -134,6 +129,7 @@
     def __init__(self, limits: Limits, max_body: int, answers: bool = False) -> None:
         """`max_body`: largest body, in bytes; `answers`: parses answers instead of requests."""
         self._limits, self._max_body, self._parses_answers = limits, max_body, answers
+        self.kept_body = max_body  # bytes of a body that its message holds; what exceeds them is dropped
         self._buffer = bytearray()
         self._reset()
 
@@ -142,10 +138,8 @@
         self._start: tuple[str, str, str] | None = None
         self._headers: list[HeaderSpan] = []
         self._body_start = 0
-        self._length: int | None = 0  # of the body, in bytes; None: the body ends with the connection
-        # `_position` is the offset of the next byte to parse, `_body_end` that of the end of the body so far.
-        self._chunked, self._position, self._body_end = False, 0, 0
-        self._in_trailers = False
+        self._length = 0  # of a body without a reader, in bytes
+        self._body: BodyReader | None = None
 
     def feed(self, data: bytes) -> None:
         """Adds received bytes; `next` returns the messages that they complete."""
@@ -175,30 +169,33 @@
                 break
             del self._buffer[: self._body_start]  # an interim answer (1xx) is skipped
             self._reset()
-        if self._chunked:
-            return self._take_message() if self._read_chunks() else None
-        if self._length is None or len(self._buffer) < self._body_start + self._length:
-            if self._length is None and len(self._buffer) - self._body_start > self._max_body:
-                raise MalformedError(413, "the body is too large")
+        if self._body is not None:
+            if self._body.read():
+                return self._take_message(self._body.end)
+            self._release_slack(self._body)
             return None
-        self._body_end = self._position = self._body_start + self._length
-        return self._take_message()
+        end = self._body_start + self._length
+        return self._take_message(end) if len(self._buffer) >= end else None
 
     def finish(self) -> Message | None:
         """Returns the answer without a length that the end of the connection completes, or None."""
-        if self._start is None or self._length is not None or self._chunked:
+        if self._start is None or not isinstance(self._body, UnsizedBody):
             return None
-        self._body_end = self._position = len(self._buffer)
-        message = self._take_message()
+        message = self._take_message(self._body.end)
         message.delimited = False
         return message
 
-    def _take_message(self) -> Message:
-        buffer, end = self._buffer, self._position
+    def _release_slack(self, body: BodyReader) -> None:
+        """Moves the buffer to a smaller one where most of what it had grown for was dropped."""
+        if self._buffer.__alloc__() - len(self._buffer) > MAX_SLACK:
+            self._buffer = body.buffer = bytearray(self._buffer)
+
+    def _take_message(self, end: int) -> Message:
+        buffer = self._buffer
         self._buffer = buffer[end:]
         view = memoryview(buffer)
         assert self._start is not None
-        message = Message(self._start, view, self._headers, view[self._body_start : self._body_end])
+        message = Message(self._start, view, self._headers, view[self._body_start : end])
         self._reset()
         return message
 
@@ -217,7 +214,7 @@
         position += 2
         while position < end:
             position = self._read_header_line(position)
-        self._body_start = self._position = self._body_end = end + len(HEAD_END)
+        self._body_start = end + len(HEAD_END)
         self._read_framing()
         return True
 
@@ -267,67 +264,34 @@
         buffer = self._buffer
         lengths, encodings, hosts = [], [], 0
         for name, _, value_start, value_end, _ in self._headers:
+            if name not in FRAMING_HEADERS:
+                continue
             if name == "content-length":
                 lengths.append(bytes(buffer[value_start:value_end]))
             elif name == "transfer-encoding":
                 encodings.append(bytes(buffer[value_start:value_end]).lower())
-            elif name == "host":
+            else:
                 hosts += 1
         if not self._parses_answers and hosts != 1 and (hosts or (self._start or ("",) * 3)[2] == "HTTP/1.1"):
             raise MalformedError(400, "Host is missing or given twice")  # RFC 9112, 3.2
         # A message with two framings could be read in two ways (request smuggling), so it is rejected.
         if encodings and (lengths or encodings != [b"chunked"]):
             raise MalformedError(400, "unclear transfer encoding")
-        status = int(self._start[1]) if self._parses_answers and self._start else 0
+        if lengths and (len(set(lengths)) > 1 or not lengths[0].isdigit() or len(lengths[0]) > 15):
+            raise MalformedError(400, "bad content length")
+        if lengths and int(lengths[0]) > self._max_body:
+            raise MalformedError(413, "the body is too large")
+        if self._parses_answers and self._start is not None and NO_BODY_STATUS.match(self._start[1]):
+            return  # it has no body, whatever the headers say
+        start, kept = self._body_start, self.kept_body
         if encodings:
-            self._chunked = True
+            self._body = ChunkedBody(buffer, start, self._limits, self._max_body, kept)
         elif lengths:
-            if len(set(lengths)) > 1 or not lengths[0].isdigit() or len(lengths[0]) > 15:
-                raise MalformedError(400, "bad content length")
             self._length = int(lengths[0])
-            if self._length > self._max_body:
-                raise MalformedError(413, "the body is too large")
+            if self._length > kept:
+                self._body = SizedBody(buffer, start, self._length, kept)
         elif self._parses_answers:
-            self._length = None
-        if 100 <= status < 200 or status in (204, 304):
-            self._chunked, self._length = False, 0
-
-    def _read_chunks(self) -> bool:
-        """Moves the chunks together within the buffer, so that the body is one slice.
-
-        Returns whether the message is complete."""
-        buffer = self._buffer
-        while True:
-            line_end = buffer.find(b"\r\n", self._position)
-            if line_end < 0 or line_end - self._position > self._limits.head:
-                if len(buffer) - self._position > self._limits.head:
-                    raise MalformedError(431, "a chunk's line is too large")
-                return False
-            if self._in_trailers:
-                complete = line_end == self._position
-                self._position = line_end + 2
-                if complete:
-                    return True
-                if self._position - self._body_end > self._limits.head + self._max_body:
-                    raise MalformedError(431, "the trailers are too large")
-                continue
-            size = bytes(buffer[self._position : line_end]).split(b";")[0].strip()
-            if not size or len(size) > 8 or not HEX_DIGITS.issuperset(size):
-                raise MalformedError(400, "bad chunk size")
-            length = int(size, 16)
-            if self._body_end - self._body_start + length > self._max_body:
-                raise MalformedError(413, "the body is too large")
-            if not length:
-                self._in_trailers, self._position = True, line_end + 2
-                continue
-            chunk_start = line_end + 2
-            if len(buffer) < chunk_start + length + 2:
-                return False
-            if buffer[chunk_start + length : chunk_start + length + 2] != b"\r\n":
-                raise MalformedError(400, "a chunk does not end where it says")
-            buffer[self._body_end : self._body_end + length] = buffer[chunk_start : chunk_start + length]
-            self._body_end += length
-            self._position = chunk_start + length + 2
+            self._body = UnsizedBody(buffer, start, self._max_body, kept)
 
 
 def answer(status: int, body: bytes = b"", headers: str = "", close: bool = False) -> bytes:
--- a/violetsaddle/net/limits.py
+++ b/violetsaddle/net/limits.py
@@ -8,6 +8,7 @@
 
 MS = 1_000  # microseconds
 SECOND = 1_000 * MS
+MIB = 1024 * 1024  # bytes
 SPARE_DESCRIPTORS = 64  # for files, the reactor, the listener and discovery
 
 
@@ -25,6 +26,7 @@
     doubt: int = 10 * SECOND  # kept connections carry no attempts so long after one broke in use
     head: int = 16 * 1024
     fields: int = 100  # in one head
+    framing: int = 16 * 1024 * 1024  # of the chunk lines of one body
     body: int = 64 * 1024
     answer_body: int = 1024 * 1024  # of what real servers answer
     list_body: int = 8 * 1024 * 1024  # of discovery's lists: a thousand servers take 0.2 to 0.6 MB
--- a/violetsaddle/net/servers.py
+++ b/violetsaddle/net/servers.py
@@ -320,6 +320,8 @@
         return answer
 
     def _exchange_failed(self, reason: Reason, connection: ServerConnection) -> Reason:
+        if connection.parse_error:
+            self._counters.add("bad_answers")
         # Real servers, or middleboxes, may drop idle connections silently. Each request written to such a
         # connection ends in a reset, and it is unknown whether the job ran.
         if isinstance(reason.value, BrokenError) and not connection.fresh:
