Real servers' answers: bodies that nobody reads are counted and dropped

Callers saw: answers of executors with bodies of up to 1 MiB, which the node never looks at, were held until they were whole, on each of up to 320 connections.

Cause: the same class as chunk lines: no limit counted the sum over connections.

Change: an exchange says how much of the answer's body its caller reads: a probe 64 KiB, the watch of discovery and of the replicas their whole limit, attempts and DELETEs nothing. The rest is counted against the limit as before, and dropped.

--- a/tests/test_held_bytes.py
+++ b/tests/test_held_bytes.py
@@ -142,6 +142,20 @@
         self.grown_at_most(3 * (2 * LIMITS.head + 2 * READ) + SLACK)
         self.assertGreater(self.counted("bad_answers"), 0)
 
+    def test_bodies_of_real_servers_answers_are_not_held(self) -> None:
+        # Nothing reads them, but each was kept up to 1 MiB until it was complete.
+        self.start(servers=1)
+        self.serves("a")
+        self.measure()
+        head = b"HTTP/1.1 202 Accepted\r\nContent-Length: %d\r\n\r\n" % LIMITS.answer_body
+        for number in range(30):
+            self.play(f"c{number} send job big{number} quote\ns expect X-Txn: big{number}")
+            send(self.line("s").sock, [head + b"x" * (LIMITS.answer_body - 1)])
+        self.grown_at_most(30 * (2 * LIMITS.head + READ + CONNECTION_OBJECTS) + SLACK)
+        for number in range(30):
+            self.play(f"of-big{number} send RAW x\nof-big{number} call+ big{number} done result=fine")
+            self.play(f"c{number} expect 200 | fine")
+
 
 @given(st.binary(max_size=300), st.lists(st.integers(0, 2000), max_size=20), st.integers(1, 40), st.data())
 def test_chunks_in_any_pieces_give_the_body(
--- a/violetsaddle/net/configuration.py
+++ b/violetsaddle/net/configuration.py
@@ -342,7 +342,9 @@
         if self._last_refused is not None and self._last_refused[0] > poll.after:
             target += f"&refused={self._last_refused[0]}&why={quote_name(self._last_refused[1])}"
         node.counters.add("configuration_calls")
-        response = self._connection.exchange([http.request("GET", target, f"{address[0]}:{address[1]}")])
+        response = self._connection.exchange(
+            [http.request("GET", target, f"{address[0]}:{address[1]}")], kept_body=MAX_ANSWER_BYTES
+        )
         timeout = (wait + options.watch_grace_ms) * MS if poll.hold else IMMEDIATE_ANSWER_TIMEOUT
         deadline = node.deadlines.after(timeout, response.cancel)
         try:
--- a/violetsaddle/net/connections.py
+++ b/violetsaddle/net/connections.py
@@ -91,11 +91,16 @@
             on_open()
 
     def exchange(
-        self, message: Sequence[bytes], on_written: Callable[[], None] | None = None
+        self,
+        message: Sequence[bytes],
+        on_written: Callable[[], None] | None = None,
+        kept_body: int = 0,
     ) -> Deferred[http.Message]:
         """Sends a message and gives the answer; fails with `BrokenError`.
 
-        `on_written`: called once the kernel has taken the whole message. Cancelling closes the connection."""
+        `on_written`: called once the kernel has taken the whole message; `kept_body`: bytes of the answer's
+        body that the caller reads: what exceeds them is dropped. Cancelling closes the connection."""
+        self._parser.kept_body = kept_body
         answer: Deferred[http.Message] = Deferred(self._cancel_exchange)
         self._answer, self._message, self._written, self._on_written = answer, message, False, on_written
         if not self.open:
--- a/violetsaddle/net/discovery.py
+++ b/violetsaddle/net/discovery.py
@@ -287,7 +287,9 @@
             timeout = wait + (response_timeout if self._last_call_failed else self._limits.watch_grace)
             target += f"?after={self._version}&wait_ms={wait // MS}"
         self._counters.add("watch_calls")
-        response = self._connection.exchange([http.request("GET", target, f"{self._host}:{self._port}")])
+        response = self._connection.exchange(
+            [http.request("GET", target, f"{self._host}:{self._port}")], kept_body=self._limits.list_body
+        )
         timer = self._deadlines.after(timeout, lambda: self._on_timeout(response))
         try:
             return await response
--- a/violetsaddle/net/servers.py
+++ b/violetsaddle/net/servers.py
@@ -261,19 +261,20 @@
         build_message: Callable[[], Sequence[bytes]],
         on_written: Callable[[], None] | None = None,
         reuse_after: Sequence[int] = REUSABLE_STATUSES,
+        kept_body: int = 0,
     ) -> Deferred[http.Message]:
         """Sends a message and gives the answer.
 
         `reused`: a connection from `_take_idle`, None: opens a new one; `build_message`: called once the
-        connection is open; `reuse_after`: statuses after which the connection is reused. Fails with
-        `NotConnectedError`, `BrokenError` or `WithheldError`."""
+        connection is open; `reuse_after`: statuses after which the connection is reused; `kept_body`: as in
+        `ServerConnection.exchange`. Fails with `NotConnectedError`, `BrokenError` or `WithheldError`."""
         if reused is not None:
             try:
-                return self._exchange_on(reused, build_message, on_written, reuse_after)
+                return self._exchange_on(reused, build_message, on_written, reuse_after, kept_body)
             except WithheldError:
                 return fail()
         dialled: Deferred[Any] = self._connect(server)
-        return dialled.addCallback(self._exchange_on, build_message, on_written, reuse_after)
+        return dialled.addCallback(self._exchange_on, build_message, on_written, reuse_after, kept_body)
 
     def _exchange_on(
         self,
@@ -281,6 +282,7 @@
         build_message: Callable[[], Sequence[bytes]],
         on_written: Callable[[], None] | None = None,
         reuse_after: Sequence[int] = REUSABLE_STATUSES,
+        kept_body: int = 0,
     ) -> Deferred[http.Message]:
         quiet_from = connection.quiet_from
         now = self._deadlines.now()
@@ -290,7 +292,7 @@
         except WithheldError:
             self._return_to_idle(connection)
             raise
-        answer = connection.exchange(parts, on_written)
+        answer = connection.exchange(parts, on_written, kept_body)
         return answer.addCallbacks(
             self._exchange_answered,
             self._exchange_failed,
@@ -471,7 +473,10 @@
             return
         host = real.address
         probing = self._exchange(
-            real, self._take_idle(real), lambda: [http.request("GET", self._probe_path, host)]
+            real,
+            self._take_idle(real),
+            lambda: [http.request("GET", self._probe_path, host)],
+            kept_body=self._limits.body,
         )
         timeout = self._deadlines.after(self._limits.probe, probing.cancel)
 
