Clients: one limit for what all their connections hold

Cause: half messages, bodies of open requests and bytes sent ahead had limits for each connection only. The one sum there was, 8 MiB of bytes sent ahead, went to 0 as a connection's next request was taken though the bytes lay there still, and each connection could pass it by one read. A request kept its body after its client had gone, until the last DELETE was confirmed.

Change: `net/held_bytes.py` counts buffers (as allocated) and bodies of open requests over all connections, beyond the first 16 KiB of each, against a third of `memory_mb` (8 MiB at least). Bytes sent ahead keep their count. The order goes with the client.

--- a/tests/test_held_bytes.py
+++ b/tests/test_held_bytes.py
@@ -6,6 +6,7 @@
 from __future__ import annotations
 
 import re
+import select
 import socket
 import threading
 from collections.abc import Iterable, Sequence
@@ -129,6 +130,35 @@
             self.assertEqual(heard.partition("\r\n\r\n")[2].encode(), body, job)
             self.play(f"s send 202\ns call+ {job} done result=fine\nc-{job} expect 200 | fine")
 
+    def test_many_half_requests_together_stay_under_the_limit(self) -> None:
+        # Each connection kept to its limit, but nothing limited what all of them held.
+        self.start(limits={"sockets": 1024, "memory_mb": 32})
+        self.serves("a")
+        self.measure()
+        bad = self.clients(400)
+        for client in bad:
+            send(client, [SIZED % (b"half", LIMITS.body) + b"x" * 60_000])
+        self.serves("b")
+        refused = [client for client in bad if select.select([client], [], [], 0)[0]]
+        self.assertIn(429, {status(client) for client in refused})
+        self.assertGreater(self.counted("refused_for_memory"), 0)
+        self.grown_at_most(32 * MIB // 3 + len(bad) * (LIMITS.edge_uncounted + CONNECTION_OBJECTS) + SLACK)
+
+    def test_pipelined_bytes_count_after_the_first_answer_too(self) -> None:
+        # The count of bytes sent ahead went to 0 as the next request was taken, though they were still held.
+        self.start(servers=1)
+        self.serves("a")
+        self.measure()
+        bad = self.clients(150)
+        for wave in range(0, len(bad), 30):  # 6 MiB each
+            for number, client in enumerate(bad[wave : wave + 30], wave):
+                first = SIZED.replace(b"20000m", b"200m") % (b"first%d" % number, 0)
+                send(client, [first, (SIZED % (b"second%d" % number, 0)) * 1700])
+            for client in bad[wave : wave + 30]:
+                self.assertIn(status(client), (429, 502, 503, 504))  # the second is taken, the rest waits
+        bound = LIMITS.edge_ahead_all + len(bad) * (2 * LIMITS.edge_uncounted + CONNECTION_OBJECTS)
+        self.grown_at_most(bound + SLACK)
+
     def test_answers_of_real_servers_without_end_are_not_held(self) -> None:
         # The same parser reads them: one answer took a node to 682 MB.
         self.start(servers=1)
--- a/violetsaddle/__main__.py
+++ b/violetsaddle/__main__.py
@@ -33,7 +33,7 @@
 from violetsaddle.interface import SettingsError
 from violetsaddle.net.discovery import BadListError, address
 from violetsaddle.net.early import SUCCESSOR
-from violetsaddle.net.limits import Limits
+from violetsaddle.net.limits import DEFAULT_MEMORY, MIB, Limits
 from violetsaddle.net.node import Config, ConfigError, Configurer, Keeper, Node, Upgrades, run, unchanged
 from violetsaddle.net.outlet import LogStream
 
@@ -42,6 +42,7 @@
     from violetsaddle.operator import Operator
 
 
+MAX_MEMORY_MB = 1 << 30  # a larger number is taken for a mistake
 SIGNALS = (signal.SIGHUP, signal.SIGINT, signal.SIGTERM, signal.SIGUSR1, signal.SIGUSR2)
 
 
@@ -61,6 +62,18 @@
     return value
 
 
+def memory_limit(limits: dict[str, Any]) -> int:
+    """Bytes that the process may occupy; the default where the configuration gives no number of megabytes."""
+    megabytes = limits.get("memory_mb")
+    if (
+        isinstance(megabytes, bool)
+        or not isinstance(megabytes, (int, float))
+        or not 0 < megabytes < MAX_MEMORY_MB
+    ):
+        return DEFAULT_MEMORY
+    return int(megabytes * MIB)
+
+
 def read(again: bool = False) -> Config:
     """The configuration; `again`: it has been replaced since the start, so that its `discovery` counts
     although the environment told another one then."""
@@ -103,6 +116,7 @@
         zones=settings.names(env, "failureDomains"),
         kinds=settings.names(env, "kinds"),
         settings=env,
+        memory=memory_limit(limits),
     )
 
 
--- a/violetsaddle/net/edge.py
+++ b/violetsaddle/net/edge.py
@@ -16,6 +16,7 @@
 from violetsaddle.net.callbacks import apply_callback, parse_callback
 from violetsaddle.net.counters import Counters
 from violetsaddle.net.deadlines import Deadlines, Patience, Transport
+from violetsaddle.net.held_bytes import ByteAccount, Share
 from violetsaddle.net.job_headers import ID, hash_subject, parse_estimate, parse_label, parse_remaining
 from violetsaddle.net.limits import SECOND, Limits
 from violetsaddle.net.requests import Failure, InvalidRequestError, Requests
@@ -23,6 +24,8 @@
 from violetsaddle.net.transports import end_writing, peek, unread_for, unsent
 
 FOREVER = 1 << 62  # microseconds
+CALLBACK_PATH = "/callback"
+TOO_MUCH_HELD = b"too many bytes are held for other requests"
 NOT_FORWARDED = http.HOP_BY_HOP | {"x-remaining"}
 
 
@@ -84,7 +87,10 @@
         self._continued = False  # 100 Continue was sent for the current message
         self._lost = False
         self._overflowed = False  # the client pipelined too many bytes; the rest is discarded
-        self._pipelined_bytes = 0  # bytes kept that came before the current request was answered
+        # What the buffer, the current request and answers that wait take, and what of it was pipelined.
+        # Neither counts the first `edge_uncounted` bytes of the connection.
+        self._held, self._pipelined = Share(factory.held), Share(factory.pipelined)
+        self._body_size = 0  # bytes of the current request's body
         self._discarded_bytes = 0
         self._last_unsent = -1  # bytes that the kernel had not taken at the last check
         self._parsing = False
@@ -175,7 +181,7 @@
         self._lost = True
         if self._timeout is not None:
             self._timeout.end()
-        self._set_pipelined_bytes(0)
+        self._release_buffers()
         self._shared.connections.free(self.number)
         if self._answer_pending:
             self._answer_pending = False
@@ -224,6 +230,7 @@
         A close with unread data would send a reset, which could overtake the answer.  So incoming data is
         read and discarded until the client closes its side or the timeout ends."""
         self._closing = True
+        self._release_buffers()
         self.transport.loseWriteConnection()
         self._start_timeout(self._shared.limits.drain)
 
@@ -269,30 +276,63 @@
             self._discard(len(data))
             return
         starts_message = starts_message or not self._parser.held
+        if self._answer_pending:
+            self._buffer_pipelined(data)
+            return
         self._parser.feed(data)
         self._read_delay = self._measure_read_delay()
-        if self._answer_pending or self._arrivals is not None:
+        if self._arrivals is not None:
             self._record_arrival(len(data))
+        self._process_buffer(starts_message)
+        if self._held.size:
+            self._limit_held()
+
+    def _buffer_pipelined(self, data: bytes) -> None:
+        """Keeps data that came before the current request was answered, up to a limit; discards the rest.
+
+        Data left in the kernel would hide the client's disconnect, and closing the connection would lose the
+        pending answer."""
+        limits, factory = self._shared.limits, self._factory
+        room = min(factory.pipelined.room, factory.held.room)
+        room += max(0, limits.edge_uncounted - self._parser.held)
+        kept = data[:room] if len(data) > room else data
+        self._parser.feed(kept)
+        self._read_delay = self._measure_read_delay()
+        self._record_arrival(len(kept))
+        self._overflowed = self._parser.held > limits.edge_ahead or len(kept) < len(data)
+        self._discarded_bytes += len(data) - len(kept)
+        self._update_held()
+
+    def _update_held(self) -> None:
+        """As `_count_held`, which few connections need: most never hold more than `edge_uncounted` bytes."""
+        if self._held.size or self._parser.held > self._shared.limits.edge_uncounted:
+            self._count_held()
+
+    def _count_held(self) -> None:
+        """Brings up to date what this connection adds to the bytes that all connections hold."""
+        limits = self._shared.limits
+        size = self._parser.allocated
         if self._answer_pending:
-            # Requests are answered one at a time.  Pipelined data is kept up to a limit, and the rest is
-            # discarded.  Data left in the kernel would hide the client's disconnect, and closing the
-            # connection would lose the pending answer.
-            self._set_pipelined_bytes(self._parser.held)
-            limits = self._shared.limits
-            self._overflowed = (
-                self._pipelined_bytes > limits.edge_ahead
-                or self._factory.pipelined_bytes > limits.edge_ahead_all
-            )
+            size += self._body_size
+        self._held.set(max(0, size - limits.edge_uncounted))
+        self._pipelined.set(max(0, self._parser.held - limits.edge_uncounted) if self._answer_pending else 0)
+
+    def _limit_held(self) -> None:
+        """Refuses the message that is being received if all connections together hold too much."""
+        if not self._factory.held.exceeded or self._answer_pending or self._closing:
+            return
+        self._shared.counters.add("refused_for_memory")
+        if self.sends_callbacks or self._parser.path == CALLBACK_PATH:
+            self._abort()  # a real server repeats a callback only if it gets no answer
         else:
-            self._process_buffer(starts_message)
+            self._answer(429, TOO_MUCH_HELD, close=True)
 
-    def _set_pipelined_bytes(self, size: int) -> None:
-        self._factory.pipelined_bytes += size - self._pipelined_bytes
-        self._pipelined_bytes = size
+    def _release_buffers(self) -> None:
+        self._parser.clear()
+        self._held.set(0)
+        self._pipelined.set(0)
 
     def _process_buffer(self, starts_message: bool) -> None:
-        if self._pipelined_bytes:
-            self._set_pipelined_bytes(0)
         # Prevents re-entry: an immediate answer must not start the next request before `_request` is set,
         # or a client's disconnect would cancel the wrong request.
         if self._parsing:
@@ -309,6 +349,8 @@
             self._abort()
         finally:
             self._parsing = False
+            if self._parser.held or self._held.size:
+                self._update_held()
 
     def _discard(self, size: int) -> None:
         """Limits the read rate once a client has sent more than could have been in transit as it left."""
@@ -358,8 +400,9 @@
             )
             self._close_after_answer = self._close_after_answer or not message.keeps_alive
             waited = self._read_delay if self._arrivals is None else self._time_buffered()
-            if self._parser.held and self._arrivals is None:
-                self._record_arrival(self._parser.held)
+            more = self._parser.held
+            if more and self._arrivals is None:
+                self._record_arrival(more)
             self._route(message, waited)
 
     def _record_arrival(self, size: int) -> None:
@@ -378,7 +421,7 @@
 
     def _route(self, message: http.Message, waited: int) -> None:
         path, _, query = message.start[1].partition("?")
-        method = {"/api": "POST", "/callback": "POST", "/up": "GET"}.get(path)
+        method = {"/api": "POST", CALLBACK_PATH: "POST", "/up": "GET"}.get(path)
         if method is None:
             self._answer(404)
         elif message.start[0] != method:
@@ -387,7 +430,7 @@
             self._answer(200, b"ready")
         elif path == "/api" and self._callbacks_only:
             self._answer(429, close=True)  # nothing was sent to a real server: the client may safely retry
-        elif path == "/callback":
+        elif path == CALLBACK_PATH:
             self.sends_callbacks = True
             self._handle_callback(message)
         else:
@@ -406,7 +449,10 @@
             slots = parse_label(message.header("x-labels"), "slots", 1.0)
             if cls is None:
                 raise InvalidRequestError("X-Lane is missing")
+            self._body_size = len(message.body)
             self._answer_pending = True
+            if self._body_size > limits.edge_uncounted and not self._may_hold_body():
+                return
             self._stop_timeout()
             number = self._shared.requests.arrive(
                 job,
@@ -423,8 +469,20 @@
             self._request = number
         except InvalidRequestError as error:
             self._answer_pending = False
+            self._update_held()
             self._answer(400, str(error).encode())
 
+    def _may_hold_body(self) -> bool:
+        """Whether the body of the current request may be held until it is answered; refuses it if not."""
+        self._count_held()
+        if not self._factory.held.exceeded:
+            return True
+        self._shared.counters.add("refused_for_memory")
+        self._answer_pending = False
+        self._count_held()
+        self._answer(429, TOO_MUCH_HELD)
+        return False
+
     def _handle_callback(self, message: http.Message) -> None:
         """Processes a real server's report on an attempt."""
         body = bytes(message.body)
@@ -436,7 +494,7 @@
             return
         self._shared.counters.add("callbacks")
         if self._factory.forward_callback is not None and not self._shared.requests.holds(callback["id"]):
-            self._answer_pending = True
+            self._answer_pending, self._body_size = True, len(body)
             self._stop_timeout()
             self._factory.forward_callback(body, self._final)
             return
@@ -464,6 +522,8 @@
             return
         self._answer_pending, self._request = False, -1
         self._answer(status, body, headers)
+        if self._held.size:
+            self._count_held()
         if (self._parser.held or self._overflowed) and not self._closing:
             self._process_buffer(True)
 
@@ -488,7 +548,8 @@
         self.closing = False  # new connections close with their first answer
         self.hold: Callable[[bool], None] = lambda held: None  # True pauses accepting, False resumes it
         self.at_limit = False  # at the limit with no idle connection: the next answer closes its connection
-        self.pipelined_bytes = 0  # over all connections
+        self.held = ByteAccount(shared.limits.edge_held_all)
+        self.pipelined = ByteAccount(shared.limits.edge_ahead_all)
         self.when_empty: Callable[[], None] | None = None  # called as the last connection has ended
         self.when_gone: Callable[[], None] | None = None  # called as each connection has ended
         # Set while two processes of this node serve.  Passes the body of a callback on a request that is not
--- a/violetsaddle/net/http.py
+++ b/violetsaddle/net/http.py
@@ -150,11 +150,26 @@
         """Number of buffered bytes that belong to no parsed message."""
         return len(self._buffer)
 
+    @property
+    def allocated(self) -> int:
+        """Bytes of memory that the buffer occupies."""
+        return self._buffer.__alloc__()
+
+    def clear(self) -> None:
+        """Drops all buffered bytes and releases their memory."""
+        self._buffer = bytearray()
+        self._reset()
+
     @property
     def begun(self) -> bool:
         """Whether a part of the next message has been received."""
         return bool(self._buffer)
 
+    @property
+    def path(self) -> str:
+        """The path in the head of the request that is being received; empty before that is complete."""
+        return self._start[1].partition("?")[0] if self._start is not None else ""
+
     @property
     def wants_continue(self) -> bool:
         """Whether a head was received whose client expects 100 Continue before it sends the body."""
--- a/violetsaddle/net/limits.py
+++ b/violetsaddle/net/limits.py
@@ -9,6 +9,8 @@
 MS = 1_000  # microseconds
 SECOND = 1_000 * MS
 MIB = 1024 * 1024  # bytes
+DEFAULT_MEMORY = 192 * MIB  # of a node whose configuration names no limit
+LEAST_HELD = 8 * MIB  # that all client connections may hold together, however small the node
 SPARE_DESCRIPTORS = 64  # for files, the reactor, the listener and discovery
 
 
@@ -48,6 +50,9 @@
     edge_ahead_all: int = 8 * 1024 * 1024  # and what all clients do; the rest is passed over,
     edge_passed: int = 16 * 1024 * 1024  # read at once up to so much: no kernel holds more of one that left,
     edge_pause: int = 50 * MS  # and then in one read for each such time
+    # Buffers, bodies of open requests and unsent answers of all client connections.
+    edge_held_all: int = DEFAULT_MEMORY // 3
+    edge_uncounted: int = 16 * 1024  # of each connection, so that small messages are never refused
     # What discovery has counts as told 6 s later.  A watch that falls silent as it is opened, one call after
     # it that is refused after its wait, and the one that brings the list fit into these.
     watch_wait: int = 2800 * MS  # discovery may hold a watch so long: a silent one is noticed no sooner
@@ -66,8 +71,8 @@
     backlog: int = 511
 
     @classmethod
-    def of(cls, told: Settings, sockets: int) -> Limits:
-        """For a node with these settings that may have so many sockets open."""
+    def of(cls, told: Settings, sockets: int, memory: int = DEFAULT_MEMORY) -> Limits:
+        """For a node with these settings that may have so many sockets open and occupy `memory` bytes."""
         usable = max(16, sockets - SPARE_DESCRIPTORS)
         # SIGKILL comes 0.7 s after the longest deadline, or after 3 s where that is longer.
         longest = min(3 * SECOND, max(c.deadline for c in told.classes))
@@ -77,6 +82,7 @@
         return cls(
             edge_connections=usable * 5 // 8,
             edge_spare=max(2, usable // 32),
+            edge_held_all=max(LEAST_HELD, memory // 3),
             server_connections=usable // 3,
             dial=told.connect_timeout,
             server_idle=max(told.keepalive // 2, told.keepalive - 500 * MS),
--- a/violetsaddle/net/node.py
+++ b/violetsaddle/net/node.py
@@ -17,7 +17,7 @@
 from violetsaddle.net.deadlines import Clock, Deadlines, Reactor, SystemClock
 from violetsaddle.net.discovery import Discovery
 from violetsaddle.net.edge import FOREVER, EdgeFactory, Shared
-from violetsaddle.net.limits import Limits
+from violetsaddle.net.limits import DEFAULT_MEMORY, Limits
 from violetsaddle.net.peers import Peers
 from violetsaddle.net.requests import Decider, Requests
 from violetsaddle.net.servers import Servers
@@ -48,6 +48,7 @@
     zones: Sequence[str]
     kinds: Sequence[str]
     settings: Mapping[str, Any] = field(default_factory=dict)  # as the configuration file holds them
+    memory: int = DEFAULT_MEMORY  # bytes that the process may occupy
 
 
 class Upgrades(Protocol):
@@ -122,7 +123,7 @@
         the machine's."""
         clock = self.clock = clock or SystemClock()
         self.reactor, self.config, self._reread = reactor, config, reread
-        self.limits = adjust(Limits.of(config.told, config.sockets))
+        self.limits = adjust(Limits.of(config.told, config.sockets, config.memory))
         self.counters = Counters(config.name, log)
         behind: Callable[[], int] = getattr(reactor, "behind", lambda: FOREVER)
         self.deadlines = Deadlines(reactor, clock, self.counters.fault)
@@ -327,6 +328,7 @@
         return {
             "requests": len(self.requests),
             "edge": len(self.edge.shared.connections),
+            "client_bytes": self.edge.held.total,
             "servers": self.servers.connection_count,
         }
 
--- a/violetsaddle/net/requests.py
+++ b/violetsaddle/net/requests.py
@@ -213,8 +213,10 @@
         """
         self.effect, self.aim = settings.classes[cls].effect, settings.classes[cls].aim
         self.most_attempts, self.may_cancel = settings.most_attempts, settings.may_cancel
-        self.number, self.job, self.order, self.deadline = -1, job, order, deadline
-        self.client: Client | None = client  # None: it has its final answer, or has gone
+        self.number, self.job, self.deadline = -1, job, deadline
+        # Both are None once the client has its final answer, or has gone.
+        self.client: Client | None = client
+        self.order: Order | None = order
         self.attempts: list[Attempt] = []
         self.final_deadline: Deadline | None = None
         self.timed_out = False  # the last attempt that ended has timed out
@@ -363,7 +365,7 @@
         if request is None or request.client is None:
             return
         self._counters.add("clients_gone")
-        request.client = None
+        request.client = request.order = None
         job = request.job
         self._dispatch(lambda: self._balancer.gone(self._deadlines.now(), job))
         for attempt in request.attempts:
@@ -590,7 +592,7 @@
                 after_us=self._deadlines.now() - attempt.sent,
             )
         if outcome == api.OK and request.client is not None:
-            client, request.client = request.client, None
+            client, request.client, request.order = request.client, None, None
             self._counters.add("answered_served")
             client.served(result or b"")
         done = request.client is None
@@ -633,7 +635,7 @@
 
     def _fail(self, request: Request, why: Failure) -> None:
         if request.client is not None:
-            client, request.client = request.client, None
+            client, request.client, request.order = request.client, None, None
             self._counters.add("answered_failed")
             client.failed(why)
         self._remove_if_done(request)
@@ -675,8 +677,10 @@
             request.number, job, len(request.attempts), worker, now, request.effect, request.may_cancel
         )
         request.attempts.append(attempt)
+        order = request.order
         if (
             request.client is None
+            or order is None
             or now >= until
             or 0 < by <= now
             or len(request.attempts) > request.most_attempts
@@ -692,13 +696,13 @@
             self.audit.repeated(request.effect, request.attempts)
         if self._late_starts is not None:
             self._late_starts.sent(attempt)
-        self.attempt_sender.send_attempt(attempt, request.order, until)
+        self.attempt_sender.send_attempt(attempt, order, until)
 
     def refuse(self, job: str, retry_after: int) -> None:
         """Ends a request with a refusal; `retry_after`: microseconds, 0: no advice."""
         request = self._table.get(self._by_job.get(job, -1))
         if request is not None and request.client is not None:
-            client, request.client = request.client, None
+            client, request.client, request.order = request.client, None, None
             self._counters.add("answered_turned_down")
             if request.attempts:
                 self.audit.refused(request.effect, request.attempts)
