Clients: the next message waits while earlier answers are unsent

Callers saw: a client that asks and does not read made the node hold every answer: 191 MiB from 50 MB of requests for nothing.

Cause: messages that are answered at once (404, /up, 400) were answered as they came, and the transport's buffer has no limit.

Change: while over 16 KiB of a connection's answers is unsent its next message waits, as one sent ahead does, and the unsent bytes count with what all connections hold. The node looks again after 1 ms, then each 50 ms.

Result: the test fails before (191 MiB where 7 are allowed) and passes after. A client that sends 3,000 requests and reads late gets 3,000 answers, before and after.

--- a/tests/test_held_bytes.py
+++ b/tests/test_held_bytes.py
@@ -9,6 +9,7 @@
 import select
 import socket
 import threading
+import time
 from collections.abc import Iterable, Sequence
 
 from hypothesis import given
@@ -159,6 +160,33 @@
         bound = LIMITS.edge_ahead_all + len(bad) * (2 * LIMITS.edge_uncounted + CONNECTION_OBJECTS)
         self.grown_at_most(bound + SLACK)
 
+    def test_answers_to_a_client_that_does_not_read_are_not_held(self) -> None:
+        # Each message was answered as it came, and answers that were not read piled up.
+        self.start(servers=1)
+        self.serves("a")
+        self.measure()
+        bad = self.client()
+        bad.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 4096)
+        asked = b"GET /nothing HTTP/1.1\r\nHost: n\r\n\r\n"
+        bad.settimeout(2)
+        send(bad, [asked * 1000] * 1500)  # 50 MB
+        self.serves("b")
+        self.grown_at_most(LIMITS.edge_unsent + LIMITS.edge_ahead + 4 * READ + SLACK)
+
+    def test_a_client_that_reads_late_gets_every_answer(self) -> None:
+        self.start(servers=1)
+        client = self.client()
+        asked, number = b"GET /nothing HTTP/1.1\r\nHost: n\r\n\r\n", 3000
+        sender = threading.Thread(target=send, args=(client, [asked * number]))
+        sender.start()
+        time.sleep(0.3)
+        answers = b""
+        while (answered := answers.count(b"HTTP/1.1 404")) < number:
+            data = client.recv(65536)
+            self.assertTrue(data, f"closed after {answered} answers")
+            answers += data
+        sender.join()
+
     def test_answers_of_real_servers_without_end_are_not_held(self) -> None:
         # The same parser reads them: one answer took a node to 682 MB.
         self.start(servers=1)
--- a/violetsaddle/net/edge.py
+++ b/violetsaddle/net/edge.py
@@ -18,7 +18,7 @@
 from violetsaddle.net.deadlines import Deadlines, Patience, Transport
 from violetsaddle.net.held_bytes import ByteAccount, Share
 from violetsaddle.net.job_headers import ID, hash_subject, parse_estimate, parse_label, parse_remaining
-from violetsaddle.net.limits import SECOND, Limits
+from violetsaddle.net.limits import MS, SECOND, Limits
 from violetsaddle.net.requests import Failure, InvalidRequestError, Requests
 from violetsaddle.net.slots import SlotTable
 from violetsaddle.net.transports import end_writing, peek, unread_for, unsent
@@ -87,6 +87,7 @@
         self._continued = False  # 100 Continue was sent for the current message
         self._lost = False
         self._overflowed = False  # the client pipelined too many bytes; the rest is discarded
+        self._output_blocked = False  # too much of earlier answers is unsent: the next message waits
         # What the buffer, the current request and answers that wait take, and what of it was pipelined.
         # Neither counts the first `edge_uncounted` bytes of the connection.
         self._held, self._pipelined = Share(factory.held), Share(factory.pipelined)
@@ -276,7 +277,7 @@
             self._discard(len(data))
             return
         starts_message = starts_message or not self._parser.held
-        if self._answer_pending:
+        if self._answer_pending or self._output_blocked:
             self._buffer_pipelined(data)
             return
         self._parser.feed(data)
@@ -314,8 +315,11 @@
         size = self._parser.allocated
         if self._answer_pending:
             size += self._body_size
+        if self._output_blocked:
+            size += unsent(self.transport)
         self._held.set(max(0, size - limits.edge_uncounted))
-        self._pipelined.set(max(0, self._parser.held - limits.edge_uncounted) if self._answer_pending else 0)
+        waits = self._answer_pending or self._output_blocked
+        self._pipelined.set(max(0, self._parser.held - limits.edge_uncounted) if waits else 0)
 
     def _limit_held(self) -> None:
         """Refuses the message that is being received if all connections together hold too much."""
@@ -333,6 +337,8 @@
         self._pipelined.set(0)
 
     def _process_buffer(self, starts_message: bool) -> None:
+        if self.transport.dataBuffer and self._blocks_on_output():
+            return
         # Prevents re-entry: an immediate answer must not start the next request before `_request` is set,
         # or a client's disconnect would cancel the wrong request.
         if self._parsing:
@@ -404,6 +410,43 @@
             if more and self._arrivals is None:
                 self._record_arrival(more)
             self._route(message, waited)
+            if more and not self._closing and self._blocks_on_output():
+                return
+
+    def _blocks_on_output(self) -> bool:
+        """Whether the client has not read its earlier answers: its next message waits until it has."""
+        if unsent(self.transport) <= self._shared.limits.edge_unsent:
+            return False
+        if not self._output_blocked:
+            self._output_blocked = True
+            if self._arrivals is None:
+                self._record_arrival(self._parser.held)
+            self._check_output_after(MS)
+        self._count_held()
+        return True
+
+    def _check_output_after(self, wait: int) -> None:
+        number, connections = self.number, self._shared.connections
+
+        def check() -> None:
+            connection = connections.get(number)
+            if connection is not None:
+                connection.check_output()
+
+        self._shared.deadlines.after(wait, check)
+
+    def check_output(self) -> None:
+        """Goes on with the next message once earlier answers have been sent."""
+        if self._closing:
+            return
+        if unsent(self.transport) > self._shared.limits.edge_unsent:
+            self._count_held()
+            self._check_output_after(self._shared.limits.edge_pause)
+            return
+        self._output_blocked = False
+        if not self._answer_pending:
+            self._process_buffer(True)
+        self._count_held()
 
     def _record_arrival(self, size: int) -> None:
         """Records the arrival time of the `size` bytes read last: they may wait for the current request."""
--- a/violetsaddle/net/limits.py
+++ b/violetsaddle/net/limits.py
@@ -50,6 +50,7 @@
     edge_ahead_all: int = 8 * 1024 * 1024  # and what all clients do; the rest is passed over,
     edge_passed: int = 16 * 1024 * 1024  # read at once up to so much: no kernel holds more of one that left,
     edge_pause: int = 50 * MS  # and then in one read for each such time
+    edge_unsent: int = 16 * 1024  # while more of earlier answers is unsent, a connection's next message waits
     # Buffers, bodies of open requests and unsent answers of all client connections.
     edge_held_all: int = DEFAULT_MEMORY // 3
     edge_uncounted: int = 16 * 1024  # of each connection, so that small messages are never refused
