Parser: long header names are not cached

Callers saw: up to 8 MB that never came back, after heads with names of 16 KiB.

Cause: the cache of names in lower case was limited to 256 names, not in bytes.

Change: names over 64 bytes are not cached. Result: the test fails before and passes after.

--- a/tests/test_held_bytes.py
+++ b/tests/test_held_bytes.py
@@ -235,3 +235,12 @@
         message = message or parser.next()
         assert parser.held <= len(CHUNKED) + len(body) + 80 + end - begin
     assert message is not None and bytes(message.body) == body and parser.held == 3
+
+
+def test_long_header_names_are_not_cached() -> None:
+    # 256 names of 16 KiB each stayed in memory for good.
+    before = len(http._LOWER_NAMES)
+    parser = http.Parser(LIMITS, LIMITS.body)
+    parser.feed(b"GET /up HTTP/1.1\r\nHost: n\r\n" + b"X" * 10_000 + b": 1\r\n\r\n")
+    assert parser.next() is not None
+    assert all(len(name) < 100 for name in http._LOWER_NAMES) and len(http._LOWER_NAMES) <= before + 1
--- a/violetsaddle/net/http.py
+++ b/violetsaddle/net/http.py
@@ -56,13 +56,14 @@
 # Cache of header names in lower case: the same few names come with every message.
 _LOWER_NAMES: dict[bytes, str] = {}
 _MAX_CACHED_NAMES = 256
+_MAX_CACHED_NAME_LENGTH = 64  # bytes
 
 
 def _lower_name(name: bytes) -> str:
     lower = _LOWER_NAMES.get(name)
     if lower is None:
         lower = name.decode("ascii").lower()
-        if len(_LOWER_NAMES) < _MAX_CACHED_NAMES:
+        if len(_LOWER_NAMES) < _MAX_CACHED_NAMES and len(name) <= _MAX_CACHED_NAME_LENGTH:
             _LOWER_NAMES[name] = lower
     return lower
 
