Control server: limits for what all connections hold and for unsent answers

Callers saw: a client that asked a replica for the configuration and did not read made it hold every answer.

Cause: the same class as on nodes: no limit on unsent answers, none on the sum of half requests.

Change: the next request waits while over 256 KiB of answers are unsent; all connections hold 64 MiB together, beyond it 503 `busy` and a close (`refused_for_memory`).

The sum of half requests was not played.

--- a/tests/test_control.py
+++ b/tests/test_control.py
@@ -23,6 +23,7 @@
 from tests.replicas import NAMES, PATIENCE, Program, Replicas, Reply, document
 from tests.scenario import SETTINGS
 from violetsaddle.control import client
+from violetsaddle.control.server import MAX_BODY_BYTES, MAX_UNSENT_BYTES
 from violetsaddle.control.store import Store
 from violetsaddle.decide.document import digest
 from violetsaddle.lab.live.children import TREE
@@ -565,6 +566,28 @@
 
     # Documents.
 
+    def test_answers_to_a_client_that_does_not_read_are_not_held(self) -> None:
+        # Each request was answered as it came: 64 KiB of requests brought answers of many times that.
+        ground = self.begun()
+        self.accepted(ground.write("c0", 0, document()), 1)
+        pid = ground.programs["c0"].process.pid
+
+        def peak() -> int:
+            found = re.search(r"VmHWM:\s+(\d+) kB", Path(f"/proc/{pid}/status").read_text(encoding="ascii"))
+            assert found is not None
+            return int(found[1]) * 1024
+
+        Path(f"/proc/{pid}/clear_refs").write_text("5", encoding="ascii")
+        before = peak()
+        with socket.create_connection(("127.0.0.1", ground.ports["c0"]), PATIENCE) as client:
+            client.settimeout(2)
+            with contextlib.suppress(OSError):
+                for _ in range(100):
+                    client.sendall(b"GET /configuration HTTP/1.1\r\nHost: c\r\n\r\n" * 1000)
+            self.accepted(ground.write("c0", 1, document(3.0)), 2)
+            # What it may hold: unsent answers, requests ahead, a read of each.
+            self.assertLessEqual(peak() - before, MAX_UNSENT_BYTES + 2 * MAX_BODY_BYTES + 6 * 1024 * 1024)
+
     def test_documents_long_cut_and_damaged(self) -> None:
         tenants = [{"name": f"tenant-{n:04}", "share": 1.0} for n in range(1400)]
         settings = {**SETTINGS, "tenants": tenants}
--- a/violetsaddle/control/server.py
+++ b/violetsaddle/control/server.py
@@ -20,9 +20,13 @@
 from violetsaddle.net import http
 from violetsaddle.net.counters import Counters
 from violetsaddle.net.deadlines import Deadline, Deadlines, Patience, Transport
-from violetsaddle.net.limits import MS, Limits
+from violetsaddle.net.held_bytes import ByteAccount, Share
+from violetsaddle.net.limits import MIB, MS, Limits
+from violetsaddle.net.transports import unsent
 
 MAX_BODY_BYTES = 256 * 1024  # of a request
+MAX_HELD_BYTES = 64 * MIB  # of the requests that all connections are receiving
+MAX_UNSENT_BYTES = 256 * 1024  # while more of a connection's answers is unsent, its next request waits
 MAX_WAIT_MS = 60_000
 MAX_VERSION_NUMBER = 1 << 53  # JSON parsers that use floats round larger numbers
 MAX_NAME_LENGTH = 256  # characters; for nodes, authors and keys
@@ -134,6 +138,8 @@
         self._lost = False
         self._parsing = False
         self._continue_sent = False
+        self._output_blocked = False  # too much of earlier answers is unsent: the next request waits
+        self._held = Share(factory.held)
         self._awaiting_first_request = True
         self._timeout = Patience(factory.deadlines, self._timed_out)
         self.active_at = factory.deadlines.now()  # time of the last request or answer
@@ -160,6 +166,7 @@
         """Removes the connection, and its watch without an answer."""
         self._lost = True
         self._timeout.end()
+        self._held.set(0)
         self._factory.connections.pop(self, None)
         if self.watch is not None:
             self._factory.watches.remove(self.watch)
@@ -188,20 +195,43 @@
         try:
             new_request = not self._parser.held
             self._parser.feed(data)
-            if not self._answer_pending:
+            if not self._answer_pending and not self._output_blocked:
                 self._process_input(new_request)
             elif self._parser.held > MAX_BODY_BYTES + self._limits.head:
                 self.abort()  # limits how much a client may send ahead
+            self._limit_held()
         except Exception as error:
             self._factory.counters.fault("a connection failed", error)
             self.abort()
 
+    def _limit_held(self) -> None:
+        """Refuses the request that is being received if all connections together hold too much."""
+        self._held.set(self._parser.allocated)
+        if self._factory.held.exceeded and not self._answer_pending and not self._closing:
+            self._factory.counters.add("refused_for_memory")
+            self._answer(
+                error_answer(503, "busy", "too many bytes are held for others: try again"), last=True
+            )
+
+    def _blocks_on_output(self) -> bool:
+        """Whether the client has not read its earlier answers: its next request waits until it has."""
+        self._output_blocked = unsent(self.transport) > MAX_UNSENT_BYTES
+        if self._output_blocked:
+            self._factory.deadlines.after(self._limits.edge_pause, self._resume_input)
+        return self._output_blocked
+
+    def _resume_input(self) -> None:
+        if not self._closing and not self._lost and not self._answer_pending:
+            self._process_remaining_input()
+
     def _process_input(self, new_request: bool) -> None:
         if self._parsing:
             return
         self._parsing = True
         try:
             while not self._answer_pending and not self._closing and not self._lost:
+                if self._blocks_on_output():
+                    return
                 message = self._parser.next()
                 if message is None:
                     if self._parser.held and new_request and not self._awaiting_first_request:
@@ -220,6 +250,7 @@
             self._answer(error_answer(error.status, "http", error.text), last=True)
         finally:
             self._parsing = False
+            self._held.set(self._parser.allocated)
 
     def _dispatch(self, message: http.Message) -> None:
         path, _, query = message.start[1].partition("?")
@@ -247,11 +278,14 @@
         """Sends the pending answer, then processes the input that arrived meanwhile."""
         self._answer(answer)
         if self._parser.held and not self._parsing and not self._closing and not self._lost:
-            try:
-                self._process_input(new_request=True)
-            except Exception as error:
-                self._factory.counters.fault("a connection failed", error)
-                self.abort()
+            self._process_remaining_input()
+
+    def _process_remaining_input(self) -> None:
+        try:
+            self._process_input(new_request=True)
+        except Exception as error:
+            self._factory.counters.fault("a connection failed", error)
+            self.abort()
 
     def _answer(self, answer: Answer, allow: str = "", last: bool = False) -> None:
         if self._lost or self._closing:
@@ -264,6 +298,8 @@
             # Closes only the sending side.  Closing with unread data would reset the connection and lose the
             # answer.
             self._closing = True
+            self._parser.clear()
+            self._held.set(0)
             self.transport.loseWriteConnection()
             self._wait(self._limits.drain)
         else:
@@ -371,6 +407,7 @@
         self.registry = NodeRegistry()
         self.watches = Watches(self)
         self.connections: dict[ControlConnection, None] = {}
+        self.held = ByteAccount(MAX_HELD_BYTES)
         self.closing = False
         self._concurrent_writes = 0
 
