Upgrade: callbacks for a process that does not read are limited to 8 MiB

Callers saw: nothing; found by reading. While two processes of a node serve, callbacks passed on to one that stands still piled up in the pair's write buffer, 64 KiB each, with no limit but the drain's 30 s.

Change: beyond 8 MiB a callback is answered 503 at once, as after the wait; the executor may call again (`callbacks_held_up`).

Result: read only; it has no test of its own.

--- a/violetsaddle/net/upgrade.py
+++ b/violetsaddle/net/upgrade.py
@@ -33,12 +33,13 @@
 from violetsaddle.net.early import SUCCESSOR
 from violetsaddle.net.limits import MS, SECOND
 from violetsaddle.net.node import Config, ConfigError, Node
-from violetsaddle.net.transports import CONNECTION_ENDED_ERRORS
+from violetsaddle.net.transports import CONNECTION_ENDED_ERRORS, unsent
 
 PROTOCOL = 1
 PREFIX = 4  # bytes that hold a message's length
 MOST_STATE = 128 << 20  # bytes of a message to the successor: a list is as long as discovery's answers may be
 MOST_MORE = 64 << 10  # bytes of a message to the old process, beyond a callback's body
+MOST_UNSENT = 8 << 20  # bytes that wait for the other process; callbacks beyond it are answered 503
 MOST_SOCKETS = 8
 IDS_EACH = 1000  # ids in one message
 SERVE_WITHIN = SECOND  # from `go` until the successor says that it serves: meanwhile nobody accepts
@@ -542,6 +543,10 @@
     # Callbacks.
 
     def _pass_on(self, body: bytes, answer: Callable[[int], None]) -> None:
+        if self._link is not None and unsent(self._link) > MOST_UNSENT:
+            self._counters.add("callbacks_held_up")
+            answer(503)  # the real server may call again
+            return
         self._called += 1
         number = self._called
         # After a 503 the real server may call again; the other side may have heard it all the same.
