--- a/violetsaddle/net/edge.py
+++ b/violetsaddle/net/edge.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Callable, Sequence
+from collections.abc import Callable
 from dataclasses import dataclass, field
 from heapq import heapify, heappop
 
@@ -17,6 +17,7 @@
 from violetsaddle.net.counters import Counters
 from violetsaddle.net.deadlines import Deadlines, Patience, Transport
 from violetsaddle.net.held_bytes import ByteAccount, Share
+from violetsaddle.net.http_order import HttpOrder
 from violetsaddle.net.job_headers import ID, hash_subject, parse_estimate, parse_label, parse_remaining
 from violetsaddle.net.limits import MS, SECOND, Limits
 from violetsaddle.net.requests import Failure, InvalidRequestError, Requests
@@ -26,29 +27,6 @@
 FOREVER = 1 << 62  # microseconds
 CALLBACK_PATH = "/callback"
 TOO_MUCH_HELD = b"too many bytes are held for other requests"
-NOT_FORWARDED = http.HOP_BY_HOP | {"x-remaining"}
-
-
-class HttpOrder:
-    """The message that an attempt sends to a real server, copied from the client's request.
-
-    The copy outlives the connection's buffer, because a request may need several attempts."""
-
-    __slots__ = ("_head", "_body")
-
-    def __init__(self, message: http.Message) -> None:
-        """Copies the forwarded header lines and the body of `message`."""
-        # The header lines are copied in one step.  Content-Length is written anew.
-        self._body = bytes(message.body)
-        self._head = (
-            f"{message.start[0]} {message.start[1]} HTTP/1.1\r\n".encode("ascii")
-            + message.copy_lines(NOT_FORWARDED)
-            + b"Content-Length: %d\r\n" % len(self._body)
-        )
-
-    def message(self, host: str, wait: int) -> Sequence[bytes]:
-        """As `requests.Order.message`; X-Remaining is at least 1 microsecond."""
-        return self._head, f"Host: {host}\r\nX-Remaining: {max(1, wait)}u\r\n\r\n".encode("ascii"), self._body
 
 
 @dataclass(frozen=True)
