Client connections: the times at which bytes came are limited to 64 entries

Callers saw: nothing; found by reading. A client that sends a byte each 10 ms behind a request that waits added an entry each, which no limit counted, for as long as the request waited.

Change: at 64 entries pairs are merged. Bytes then count as arrived earlier, never later, so that no executor is told more time than is left.

Result: 5,000 arrivals left 5,000 entries before, at most 64 now (the test reads the module's entries; no process is played).

--- a/tests/test_held_bytes.py
+++ b/tests/test_held_bytes.py
@@ -17,7 +17,8 @@
 
 from tests.scenario import PATIENCE, Scenario
 from violetsaddle.net import http
-from violetsaddle.net.limits import MIB, Limits
+from violetsaddle.net.arrivals import MAX_ENTRIES, Arrivals
+from violetsaddle.net.limits import MIB, MS, Limits
 
 KIB = 1024
 READ = 64 * KIB  # bytes that one read takes at most
@@ -237,6 +238,16 @@
     assert message is not None and bytes(message.body) == body and parser.held == 3
 
 
+def test_arrival_times_of_bytes_sent_one_by_one_are_limited() -> None:
+    # A byte each 10 ms behind a request that waits added an entry each, for as long as it waited.
+    arrivals = Arrivals()
+    for number in range(5000):
+        arrivals.record(1, number * 20 * MS)
+    assert len(arrivals._marks) <= MAX_ENTRIES
+    for number in range(0, 5000, 7):
+        assert 0 <= arrivals.last_byte_of_message(4999 - number) <= number * 20 * MS
+
+
 def test_long_header_names_are_not_cached() -> None:
     # 256 names of 16 KiB each stayed in memory for good.
     before = len(http._LOWER_NAMES)
--- a/violetsaddle/net/arrivals.py
+++ b/violetsaddle/net/arrivals.py
@@ -7,6 +7,7 @@
 from violetsaddle.net.limits import MS
 
 ARRIVAL_RESOLUTION = 10 * MS  # bytes that arrive within this time share one entry
+MAX_ENTRIES = 64
 
 
 class Arrivals:
@@ -26,8 +27,18 @@
         self._fed += size
         if self._marks and at - self._marks[-1][1] < ARRIVAL_RESOLUTION:
             at = self._marks.pop()[1]
+        elif len(self._marks) >= MAX_ENTRIES:
+            self._merge_pairs()
         self._marks.append((self._fed, at))
 
+    def _merge_pairs(self) -> None:
+        """Halves the entries.  Bytes then count as arrived up to an entry earlier, never later."""
+        marks = list(self._marks)
+        pairs = zip(marks[::2], marks[1::2])
+        self._marks = deque((fed, earlier) for (_, earlier), (fed, _) in pairs)
+        if len(marks) % 2:
+            self._marks.append(marks[-1])
+
     def last_byte_of_message(self, held: int) -> int:
         """Returns when the last byte of the message just parsed arrived, in microseconds.
 
