Close every connection of the upgrade tests' stand-ins before their loop ends

With Python 3.11.6 a stream writer that is still open as its event loop closes raises in its destructor, where 3.11.7 warns: pytest ended with an internal error in tests/test_upgrade.py::Killed. Line.ask closes its connection where it is cancelled, Ground closes what it accepted and what is still open to its node, and the clients in tests/killed.py close theirs whatever happens.

--- a/tests/killed.py
+++ b/tests/killed.py
@@ -47,49 +47,63 @@
     """A client whose request comes in two parts."""
     data = ground.request("settle-half", "settle", 0.02)
     line = await Line.open(ground.port)
-    line.writer.write(data[:40])
-    await asyncio.sleep(gap)
     try:
+        line.writer.write(data[:40])
+        await asyncio.sleep(gap)
         status, body, _ = await asyncio.wait_for(line.ask(data[40:]), PATIENCE)
         ground.answered["settle-half"] += 1
         ground.counts[f"half {status}"] += 1
     except (Ended, TimeoutError, OSError):
         ground.counts["half lost"] += 1
-    line.close()
+    finally:
+        line.close()
 
 
 async def silent(ground: Ground, gap: float) -> None:
     """A client that says nothing for a while."""
+    line = None
     try:
         line = await Line.open(ground.port)
         await asyncio.sleep(gap)
-        await ground.ask(line, 0.02, job="settle-silent")
+        line = await ground.ask(line, 0.02, job="settle-silent")
     except OSError:
         pass
+    finally:
+        if line is not None:
+            line.close()
+
+
+async def once(ground: Ground, work: float, job: str = "") -> None:
+    """A client with one request."""
+    line = await ground.ask(None, work, job=job)
+    if line is not None:
+        line.close()
 
 
 async def play(ground: Ground) -> None:
     """One upgrade with clients in every state, up to its end or to the end of a side."""
     kept = await ground.ask(None, 0.0, job="settle-first")
-    ground.spawn(half(ground, 0.4))
-    ground.spawn(silent(ground, 0.5))
-    for work in (0.3, 0.6):
-        ground.spawn(ground.ask(None, work))
-    for _ in range(3):
-        ground.spawn(ground.client(15.0))
-    await asyncio.sleep(0.1)
-    old, begun = ground.pid, len(ground.log)
-    os.kill(old, signal.SIGUSR2)
-    until = time.monotonic() + PATIENCE
-    # A successor killed while the old one drains is followed by the old one itself.
-    while (
-        time.monotonic() < until
-        and alive(old)
-        and not any("upgrade failed" in line for line in ground.log[begun:])
-    ):
-        await asyncio.sleep(0.02)
-    if kept is not None:
-        kept.close()
+    try:
+        ground.spawn(half(ground, 0.4))
+        ground.spawn(silent(ground, 0.5))
+        for work in (0.3, 0.6):
+            ground.spawn(once(ground, work))
+        for _ in range(3):
+            ground.spawn(ground.client(15.0))
+        await asyncio.sleep(0.1)
+        old, begun = ground.pid, len(ground.log)
+        os.kill(old, signal.SIGUSR2)
+        until = time.monotonic() + PATIENCE
+        # A successor killed while the old one drains is followed by the old one itself.
+        while (
+            time.monotonic() < until
+            and alive(old)
+            and not any("upgrade failed" in line for line in ground.log[begun:])
+        ):
+            await asyncio.sleep(0.02)
+    finally:
+        if kept is not None:
+            kept.close()
 
 
 async def record() -> list[Point]:
@@ -136,14 +150,17 @@
         left = [pid for pid in ground.children if alive(pid)]
         if not left or time.monotonic() > until:
             return left
+        line = None
         try:
             if len(left) == 1:
                 line = await Line.open(ground.port)
                 await asyncio.wait_for(line.ask(b"GET /up HTTP/1.1\r\nHost: n\r\n\r\n"), 1)
-                line.close()
                 return left
         except (OSError, Ended, TimeoutError):
             pass
+        finally:
+            if line is not None:
+                line.close()
         await asyncio.sleep(0.02)
 
 
@@ -174,13 +191,15 @@
             wrong.append(f"the pid file names {held}, not {left[0]}: " + "; ".join(ground.log[-6:]))
         # Whoever is left knows what ran before.
         line = await Line.open(ground.port)
-        again = ground.request("settle-first", "settle", 0.0)
-        status, _, _ = await asyncio.wait_for(line.ask(again), PATIENCE)
-        line.close()
+        try:
+            again = ground.request("settle-first", "settle", 0.0)
+            status, _, _ = await asyncio.wait_for(line.ask(again), PATIENCE)
+        finally:
+            line.close()
         if status != 400:
             wrong.append(f"an id that ran is answered {status}")
     before = ground.counts["served"]
-    await ground.ask(None, 0.01, job="settle-after")
+    await once(ground, 0.01, job="settle-after")
     if ground.answered["settle-after"] != 1 or ground.counts["served"] <= before:
         wrong.append("does not serve: " + "; ".join(ground.strange[-3:]))
     return Result(point, reached, wrong + ground.faults())
--- a/violetsaddle/lab/live/upgrades.py
+++ b/violetsaddle/lab/live/upgrades.py
@@ -21,7 +21,8 @@
 from collections import Counter
 from collections.abc import Callable, Coroutine, Mapping, Sequence
 from pathlib import Path
-from typing import Any
+from typing import Any, ClassVar
+from weakref import WeakSet
 
 import click
 import numpy as np
@@ -55,14 +56,29 @@
 
 
 class Line:
-    """A connection that carries one message and its answer at a time."""
+    """A connection that carries one message and its answer at a time.
+
+    Whoever opens it closes it, also where its task is cancelled: a writer that is still open as its loop
+    closes raises in some versions of Python."""
+
+    opened: ClassVar[WeakSet[Line]] = WeakSet()
 
     def __init__(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
         self.reader, self.writer, self.used = reader, writer, False
+        self.port = 0  # where it was opened to
 
     @classmethod
     async def open(cls, port: int) -> Line:
-        return cls(*await asyncio.open_connection(HOST, port))
+        line = cls(*await asyncio.open_connection(HOST, port))
+        line.port = port
+        cls.opened.add(line)
+        return line
+
+    @classmethod
+    def close_all(cls, port: int) -> None:
+        """Closes what is still open to that port."""
+        for line in [line for line in cls.opened if line.port == port]:
+            line.close()
 
     async def ask(self, data: bytes) -> tuple[int, bytes, bool]:
         """Status, body, and whether the connection stays; raises `Ended`."""
@@ -74,6 +90,9 @@
             body = await self.reader.readexactly(int(found[1]) if found else 0)
         except (OSError, asyncio.IncompleteReadError) as error:
             raise Ended(bool(head or getattr(error, "partial", b""))) from None
+        except asyncio.CancelledError:
+            self.close()  # its answer may still come: it is no use for another message
+            raise
         self.used = True
         return int(head[9:12]), body, b"Connection: close" not in head
 
@@ -83,6 +102,7 @@
         return bool(self.reader._buffer)  # type: ignore[attr-defined]  # there is no public way to look
 
     def close(self) -> None:
+        self.opened.discard(self)
         self.writer.close()
 
 
@@ -107,6 +127,7 @@
         self._new_line = asyncio.Event()
         self._boxes, self._servers, self._tasks = boxes, [], set()  # type: ignore[var-annotated]
         self._listing: dict[str, Any] = {}
+        self._accepted: set[asyncio.StreamWriter] = set()
 
     def spawn(self, work: Coroutine[Any, Any, Any]) -> asyncio.Task[Any]:
         task = asyncio.create_task(work)
@@ -125,12 +146,16 @@
         self, take: Callable[[bytes, bytes, asyncio.StreamWriter], Coroutine[Any, Any, None]]
     ) -> str:
         async def serve(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+            self._accepted.add(writer)
             try:
                 while True:
                     head = await reader.readuntil(b"\r\n\r\n")
                     found = re.search(rb"(?i)content-length: (\d+)", head)
                     await take(head, await reader.readexactly(int(found[1]) if found else 0), writer)
             except (OSError, asyncio.IncompleteReadError):
+                pass
+            finally:
+                self._accepted.discard(writer)
                 writer.close()
 
         server = await asyncio.start_server(serve, HOST, 0)
@@ -170,6 +195,7 @@
         """A callback, tried until there is an answer; its status, or 0."""
         body = json.dumps({"id": job, "from": name, "state": state, **more}).encode()
         for _ in range(CALLS):
+            line = None
             try:
                 line = await Line.open(self.port)
                 status, _, _ = await asyncio.wait_for(
@@ -179,12 +205,14 @@
                     ),
                     PATIENCE,
                 )
-                line.close()
                 self.counts[f"callback {status}"] += 1
                 return status
             except (OSError, Ended, TimeoutError):
                 self.counts["callback again"] += 1
                 await asyncio.sleep(0.05)
+            finally:
+                if line is not None:
+                    line.close()
         self.odd("callback lost", job)
         return 0
 
@@ -239,13 +267,17 @@
     async def client(self, rate: float) -> None:
         """Asks so often a second, on one kept connection while it stays, and leaves it now and then."""
         line: Line | None = None
-        while True:
-            await asyncio.sleep(self.random.exponential(1 / rate))
-            lane = "quote" if self.random.random() < 0.5 else "settle"
-            line = await self.ask(line, float(self.random.uniform(0.002, 0.06)), lane)
-            if line is not None and self.random.random() < 0.02:
+        try:
+            while True:
+                await asyncio.sleep(self.random.exponential(1 / rate))
+                lane = "quote" if self.random.random() < 0.5 else "settle"
+                line = await self.ask(line, float(self.random.uniform(0.002, 0.06)), lane)
+                if line is not None and self.random.random() < 0.02:
+                    line.close()
+                    line = None
+        finally:
+            if line is not None:
                 line.close()
-                line = None
 
     async def probe(self) -> None:
         """Connects every 5 ms, whether the last one has been answered or not."""
@@ -256,14 +288,16 @@
             self.spawn(self._probe())
 
     async def _probe(self) -> None:
-        began = time.monotonic()
+        began, line = time.monotonic(), None
         try:
             line = await Line.open(self.port)
             status, _, _ = await line.ask(b"GET /up HTTP/1.1\r\nHost: n\r\nConnection: close\r\n\r\n")
-            line.close()
         except (OSError, Ended) as error:
             self.odd("probe unanswered", repr(error))
             return
+        finally:
+            if line is not None:
+                line.close()
         if status != 200:
             self.odd("probe unanswered", str(status))
         self.waits.record_value(max(1, int((time.monotonic() - began) * 1e6)))
@@ -403,6 +437,10 @@
                 os.kill(pid, signal.SIGKILL)
         for pid in self.children:
             await self.gone(pid)
+        # Some tasks go on although they were cancelled, so that this can't be left to them alone.
+        Line.close_all(self.port)
+        for writer in list(self._accepted):
+            writer.close()
 
     def faults(self) -> list[str]:
         """What must never be, whatever befell the node: second answers, second runs, faults in its log."""
