A request that ends before the module knows of it leaves nothing behind

Cause: Requests.send found that the client had gone and removed the request from the table at once. The attempt that the module was making then ended for a request that the table no longer held, and the module was never told. The same held for a client that leaves while another event is processed, and for an exception of the module after it had taken a request in.

Change: a request is removed behind all events that wait for the module, and every end that the module has not decided is reported to it before. An attempt that never left gives its cost back to the cold executor's budget, and a request of which nothing left its slots to the tenant's bucket.

--- a/tests/wired.py
+++ b/tests/wired.py
@@ -197,11 +197,17 @@
         self.servers.update_addresses(at, gone, kind != api.DIFF)
         self.requests.listed(kind, entries)
 
-    def ask(self, job: str, cls: int, remaining: int) -> Client:
+    def ask(self, job: str, cls: int, remaining: int, gone: bool = False) -> Client:
+        """`gone`: the client has closed its connection, and the node has not read that yet."""
         client = Client()
+        client.gone = gone
         self.requests.arrive(job, str(cls), None, remaining, True, 1.0, None, 0, Job(job), client)
         return client
 
+    def leave(self, job: str) -> None:
+        """The client closes its connection, and the node reads that at once."""
+        self.requests.leave(self.requests._by_job[job])
+
     def call(self, job: str, name: str, state: str) -> None:
         apply_callback(self.shared, {"id": job, "from": name, "state": state, "result": "r"})
 
--- a/violetsaddle/net/node.py
+++ b/violetsaddle/net/node.py
@@ -327,6 +327,7 @@
         """What the node holds now; after its end each must be 0."""
         return {
             "requests": len(self.requests),
+            "module_requests": self.requests.module_count,
             "edge": len(self.edge.shared.connections),
             "client_bytes": self.edge.held.total,
             "servers": self.servers.connection_count,
--- a/violetsaddle/net/requests.py
+++ b/violetsaddle/net/requests.py
@@ -265,6 +265,11 @@
         """The number of open requests."""
         return len(self._table)
 
+    @property
+    def module_count(self) -> int:
+        """The number of requests that the decision module keeps; never more than are open."""
+        return len(self._balancer.requests) if isinstance(self._balancer, Balancer) else 0
+
     # Ids of requests, for another process of the same node.
 
     def holds(self, job: str) -> bool:
@@ -347,7 +352,7 @@
         self, number: int, cls: int, tenant: int, remaining: int, slots: float, key: int | None, hint: int
     ) -> None:
         request = self._table.get(number)
-        if request is None:
+        if request is None or request.client is None:
             return
         try:
             # A hint above the class's deadline is not plausible and would distort the module's averages.
@@ -357,7 +362,7 @@
             )
         except Exception as error:
             self._counters.fault("the module failed on a flow", error)
-            self._fail(request, Failure.BROKEN)
+            self._fail_untold(request, Failure.BROKEN)
 
     def leave(self, number: int) -> None:
         """The client has gone: the request needs no answer any more."""
@@ -366,8 +371,7 @@
             return
         self._counters.add("clients_gone")
         request.client = request.order = None
-        job = request.job
-        self._dispatch(lambda: self._balancer.gone(self._deadlines.now(), job))
+        self._tell_gone(request)
         for attempt in request.attempts:
             if attempt.state is AttemptState.UNSENT:
                 # Without permission to cancel, an attempt that waits for a connection would still be sent.
@@ -375,6 +379,11 @@
                 self.ended(attempt, api.MOOT)
         self._remove_if_done(request)
 
+    def _tell_gone(self, request: Request) -> None:
+        """Reports to the decision module that a request needs no answer any more."""
+        job = request.job
+        self._dispatch(lambda: self._balancer.gone(self._deadlines.now(), job))
+
     def closed_unanswered(self, number: int, why: str) -> None:
         """This node closes the client's connection before the answer was sent; `why`: for the log."""
         self.audit.closed_unanswered(self.job_of(number), why)
@@ -609,10 +618,8 @@
         if request is None or request.client is None:
             return
         self._counters.add("overdue")
-        job = request.job
-        self._counters.event("flow overdue", "warning", flow=job)
-        self._fail(request, Failure.LATE)
-        self._dispatch(lambda: self._balancer.gone(self._deadlines.now(), job))
+        self._counters.event("flow overdue", "warning", flow=request.job)
+        self._fail_untold(request, Failure.LATE)
 
     def _expired(self, attempt: Attempt) -> None:
         """The attempt has timed out."""
@@ -634,29 +641,48 @@
             self.ended(attempt, api.MOOT)
 
     def _fail(self, request: Request, why: Failure) -> None:
+        self._send_failure(request, why)
+        self._remove_if_done(request)
+
+    def _fail_untold(self, request: Request, why: Failure) -> None:
+        """As `_fail`, for a request that the decision module has not ended itself."""
+        self._send_failure(request, why)
+        self._tell_gone(request)
+        self._remove_if_done(request)
+
+    def _send_failure(self, request: Request, why: Failure) -> None:
         if request.client is not None:
             client, request.client, request.order = request.client, None, None
             self._counters.add("answered_failed")
             client.failed(why)
-        self._remove_if_done(request)
 
     def _remove_if_done(self, request: Request) -> None:
-        """Removes a request once its client has the answer or has gone, and all attempts have ended."""
-        if (
-            request.client is None
-            and all(attempt.state is AttemptState.ENDED for attempt in request.attempts)
-            and self._table.get(request.number)
-        ):
-            self._deadlines.drop(request.final_deadline)
-            self._table.free(request.number)
-            del self._by_job[request.job]
-            self._finished_ids[request.job] = None
-            while len(self._finished_ids) > self._limits.remembered:
-                self._finished_ids.popitem(last=False)
-            if self.on_id_change is not None:
-                self.on_id_change(request.job, True)
-            if not len(self._table) and self.when_idle is not None:
-                self.when_idle()
+        """Removes a request once its client has the answer or has gone, and all attempts have ended.
+
+        While events wait for the decision module, the removal waits behind them.  Until the module knows of
+        the request's end, it may make another attempt, and must be told what becomes of it."""
+        if request.client is not None or not all(attempt.ended for attempt in request.attempts):
+            return
+        number = request.number
+        if self._dispatching:
+            self._events.append(lambda: self._remove(number))
+        else:
+            self._remove(number)
+
+    def _remove(self, number: int) -> None:
+        request = self._table.get(number)
+        if request is None:
+            return
+        self._deadlines.drop(request.final_deadline)
+        self._table.free(number)
+        del self._by_job[request.job]
+        self._finished_ids[request.job] = None
+        while len(self._finished_ids) > self._limits.remembered:
+            self._finished_ids.popitem(last=False)
+        if self.on_id_change is not None:
+            self.on_id_change(request.job, True)
+        if not len(self._table) and self.when_idle is not None:
+            self.when_idle()
 
     # Actions of the decision module.
 
--- a/violetsaddle/policy.py
+++ b/violetsaddle/policy.py
@@ -122,6 +122,10 @@
         self.tokens -= amount
         return True
 
+    def give_back(self, amount: float) -> None:
+        """Returns slots that a request took but did not use."""
+        self.tokens = min(self.burst, self.tokens + amount)
+
     def wait(self, amount: float) -> int:
         """Returns the microseconds until `amount` slots can be taken."""
         return int(max(0.0, min(amount, MIN_TOKENS) - self.tokens) / self.rate) + 1 if self.rate else SECOND
@@ -728,7 +732,9 @@
             self.busy_share += BUSY_SHARE_STEP * (busy - self.busy_share)
         self.largest_job = max(self.largest_job, slots)
         bucket.burst = max(MIN_BURST, self.largest_job)
-        if not bucket.take(now, slots) and now < self.saturated_until:
+        if bucket.take(now, slots):
+            request.bucket = bucket if bucket.rate is not None else None
+        elif now < self.saturated_until:
             return self.act.refuse(job, self._retry_after(request, bucket.wait(slots)))
         self.requests[job] = request
         self._push(now, request)
@@ -800,7 +806,13 @@
             if attempt.in_flight and request.settings.may_cancel:
                 self.act.cancel(request.id, attempt.number)
         if not request.in_flight:
-            del self.requests[request.id]
+            self._forget(request)
+
+    def _forget(self, request: Request) -> None:
+        """Removes a finished request; one of which nothing has left costs its tenant nothing."""
+        del self.requests[request.id]
+        if request.bucket is not None and not any(attempt.has_left for attempt in request.attempts):
+            request.bucket.give_back(request.slots)
 
     def _check_attempt(self, now: int, about: tuple[str, int, int]) -> None:
         """Looks for an attempt that has not started in time or shows no progress where it is reported.
@@ -913,7 +925,7 @@
             self._apply_report(now, worker, report)
         if request.finished:
             if not request.in_flight:
-                del self.requests[job]
+                self._forget(request)
         elif over:
             self._end(request)
         elif not request.in_flight:
@@ -947,6 +959,9 @@
             worker.cold_budget.tokens = min(0.0, worker.cold_budget.tokens)
             self._record_alive(now, worker)
             self._record_start(now, True, worker)
+        elif outcome == api.MOOT:
+            attempt.has_left = False
+            attempt.cold_budget.tokens += request.cost
         elif outcome == api.CONNECT_FAILED or outcome == api.RESET:
             # Without gossip each scheduler would find the failure by requests of its own.
             self._queue_gossip(now, worker, True)
--- a/violetsaddle/state.py
+++ b/violetsaddle/state.py
@@ -122,13 +122,27 @@
 class Attempt:
     """One attempt of a request, with the zone and cell that the worker had when it was sent."""
 
-    __slots__ = ("number", "worker", "cell", "zone", "sent", "started", "in_flight", "late", "may_have_run")
+    __slots__ = (
+        "number",
+        "worker",
+        "cell",
+        "zone",
+        "sent",
+        "started",
+        "in_flight",
+        "late",
+        "may_have_run",
+        "has_left",
+        "cold_budget",
+    )
 
     def __init__(self, number: int, worker: Worker, now: int) -> None:
         """`number`: its index in the request; `now`: the time at which it is sent."""
         self.number, self.worker = number, worker
         self.cell, self.zone, self.sent, self.started = worker.cell, worker.zone, now, 0
         self.in_flight, self.may_have_run, self.late = True, True, False
+        self.has_left = True  # False: it ended before it was sent
+        self.cold_budget = worker.cold_budget  # which paid for it; a worker that restarts gets another one
 
 
 class Request:
@@ -147,6 +161,7 @@
         "start_limit",
         "hint",
         "cost",
+        "bucket",
     )
 
     def __init__(
@@ -166,6 +181,9 @@
         self.deadline, self.start_limit = deadline, int(start_share * spec.aim)
         self.attempts: list[Attempt] = []
         self.in_flight, self.finished, self.streaming = 0, False, False  # `in_flight` counts attempts
+        self.bucket: Any = (
+            None  # the tenant's `policy.TokenBucket` that paid for it; None: it was not paid for
+        )
 
     def tried(self, worker: Worker) -> bool:
         """Returns whether an earlier attempt went to this worker."""
