A call to a slow discovery keeps its place while another is made

Cause: a call for an answer at once is given up after 1.1 s, so that a lost one holds up no list. It was cancelled as the next one was made, and lost its place at a discovery that was only slow. A longer wait alone would break the 6 s over a silent watch.

Change: a call that was not answered in time stays open beside the next one for 5 s, two at most. The first answer counts, if no other list was taken meanwhile; then the others are closed. Counters watch_late and watch_late_unused.

--- a/violetsaddle/net/discovery.py
+++ b/violetsaddle/net/discovery.py
@@ -20,10 +20,15 @@
 from violetsaddle.net.servers import Servers
 from violetsaddle.net.wall_clock import WallClock
 
+MAX_LATE_CALLS = 2  # that have timed out and are still open; each may hold a whole list
 MAX_TIMEOUT_DOUBLINGS = 2  # after calls that timed out the response timeout grows: 1.1 s, 2.2 s, 4.4 s
 STATES = {"up": api.ACTIVE, "draining": api.DRAINING, "removed": api.GONE}
 
 
+class CallTimedOutError(Exception):
+    """A call was not answered in time.  It stays open for a while, as its answer may still arrive."""
+
+
 class BadListError(Exception):
     """The server list is not valid; the message names the fault."""
 
@@ -36,6 +41,25 @@
     return host, int(port)
 
 
+class _Call:
+    """A call to discovery."""
+
+    __slots__ = ("connection", "base", "generation", "exchange", "outcome")
+
+    def __init__(self, connection: ServerConnection, base: int | None, generation: int) -> None:
+        """`base`: the version that the answer builds on, None: the whole list was asked for; `generation`:
+        that of the watch that makes the call."""
+        self.connection, self.base, self.generation = connection, base, generation
+        self.exchange: Deferred[http.Message] | None = None
+        # The answer, for the watch.  Fails with `CallTimedOutError` if the answer does not come in time.
+        self.outcome: Deferred[http.Message] = Deferred(lambda _: self.abandon())
+
+    def abandon(self) -> None:
+        """Closes the connection; an answer is not taken any more."""
+        if self.exchange is not None:
+            self.exchange.cancel()
+
+
 class Discovery:
     """Client of the discovery service: polls for changes of the server list and applies them.
 
@@ -76,6 +100,9 @@
         self._stopped = False
         self._last_call_failed = False
         self._timeouts = 0  # consecutive calls that timed out, after a call that failed
+        # Calls that timed out and may still be answered, the earliest first.  Each keeps its place in the
+        # queue of a slow discovery, while another call is made in case this one was lost.
+        self._late_calls: list[_Call] = []
         self._entries: dict[str, api.Entry] = {}  # of the current list, by server name
         self._last_success = deadlines.now()  # when the current list was last confirmed
         # Called with each list that is applied and the `host:port` that it came from.
@@ -197,18 +224,32 @@
         if at == (self._host, self._port):
             return
         self._host, self._port = at
+        self._version, self._timeouts = None, 0
+        self._restart(None)
+
+    def _restart(self, connection: ServerConnection | None) -> None:
+        """Gives up all calls and starts the watch again.
+
+        `connection`: an open connection to discovery to use; None: opens a new one."""
         self._generation += 1
-        self._version, self._watching, self._timeouts = None, False, 0
         if self._watch_task is not None:
             self._watch_task.cancel()
+        self._abandon_late_calls()
         self._close_connection()
+        self._connection, self._watching = connection, False
         self.watch()
 
     def stop(self) -> None:
-        """Closes the connection and sends no further calls."""
+        """Closes the connections and sends no further calls."""
         self._stopped = True
+        self._abandon_late_calls()
         self._close_connection()
 
+    def _abandon_late_calls(self) -> None:
+        late_calls, self._late_calls = self._late_calls, []
+        for call in late_calls:
+            call.abandon()
+
     def _close_connection(self) -> None:
         if self._connection is not None:
             self._connection.transport.abortConnection()
@@ -238,11 +279,11 @@
                     break
                 previous_version = self._version
                 self.take(json.loads(bytes(response.body)))
-                self._last_call_failed, self._timeouts, self._last_success = False, 0, self._deadlines.now()
+                self._note_success()
                 if self._version == previous_version:
                     # Avoids a busy loop if discovery answers at once without changes.
                     await self._pause()
-        except (NotConnectedError, BrokenError, CancelledError):
+        except (NotConnectedError, BrokenError, CancelledError, CallTimedOutError):
             error_text = self._connection.parse_error if self._connection is not None else ""
             if generation == self._generation and error_text:
                 # The current list stays in use.
@@ -255,8 +296,7 @@
                 self._counters.add("watch_broken")
                 self._counters.event("watch broken", "warning", at=f"{self._host}:{self._port}")
         except (BadListError, ValueError, RecursionError) as error:
-            self._counters.add("watch_bad")
-            self._counters.say(f"discovery gave a bad list: {error}"[:300])
+            self._report_bad_list(error)
         self._on_watch_end(generation)
 
     def _pause(self) -> Deferred[None]:
@@ -279,27 +319,80 @@
         # After a failure the wait is short: missed changes may be due soon, and discovery may stop answering
         # again.  But a node that has a list never requests the full one: its size costs discovery more than
         # the call, and forty nodes that request it keep discovery overloaded.
-        # An overloaded discovery queues calls for an unknown time, and a call that is cancelled loses its
-        # place.  So the timeout grows, or a node with a short timeout would never get a response.
+        # An overloaded discovery queues calls for an unknown time.  So the timeout grows, or the calls of
+        # many nodes would keep it overloaded.
         timeout = response_timeout = self._limits.ask << min(self._timeouts, MAX_TIMEOUT_DOUBLINGS)
         if self._version is not None:
             wait = self._limits.doubt_wait if self._last_call_failed else self._limits.watch_wait
             timeout = wait + (response_timeout if self._last_call_failed else self._limits.watch_grace)
             target += f"?after={self._version}&wait_ms={wait // MS}"
         self._counters.add("watch_calls")
-        response = self._connection.exchange(
+        call = _Call(self._connection, self._version, self._generation)
+        call.exchange = self._connection.exchange(
             [http.request("GET", target, f"{self._host}:{self._port}")], kept_body=self._limits.list_body
         )
-        timer = self._deadlines.after(timeout, lambda: self._on_timeout(response))
+        call.exchange.addCallbacks(
+            self._on_answer, self._on_call_failed, callbackArgs=(call,), errbackArgs=(call,)
+        ).addErrback(lambda reason: self._counters.fault("a late answer failed", reason.value))
+        timer = self._deadlines.after(timeout, lambda: self._on_timeout(call))
         try:
-            return await response
+            return await call.outcome
         finally:
             self._deadlines.drop(timer)
 
-    def _on_timeout(self, response: Deferred[http.Message]) -> None:
-        """Cancels a call without a response in time.
+    def _on_answer(self, answer: http.Message, call: _Call) -> None:
+        if call in self._late_calls:
+            self._late_calls.remove(call)
+            self._take_late(answer, call)
+        elif not call.outcome.called:
+            call.outcome.callback(answer)
+
+    def _on_call_failed(self, reason: Reason, call: _Call) -> None:
+        if call in self._late_calls:
+            self._late_calls.remove(call)
+        elif not call.outcome.called:
+            call.outcome.errback(reason)
+
+    def _on_timeout(self, call: _Call) -> None:
+        """Ends the wait of the watch for an answer; the answer is still taken if it comes soon after.
 
         The first timeout only shows that the watch stopped working.  Each one that follows a failed call
         makes the timeout of the next call longer."""
         self._timeouts += self._last_call_failed
-        response.cancel()
+        if len(self._late_calls) >= MAX_LATE_CALLS:
+            call.abandon()
+            return
+        self._late_calls.append(call)
+        self._connection = None  # the next call goes on another one
+        self._deadlines.after(self._limits.late_answer, lambda: self._on_late_timeout(call))
+        call.outcome.errback(CallTimedOutError())
+
+    def _on_late_timeout(self, call: _Call) -> None:
+        if call in self._late_calls:
+            self._late_calls.remove(call)
+            call.abandon()
+
+    def _take_late(self, answer: http.Message, call: _Call) -> None:
+        """Takes the answer to a call that has timed out, unless another list was taken meanwhile."""
+        if answer.status != 200 or call.base != self._version or call.generation != self._generation:
+            self._counters.add("watch_late_unused")
+            call.connection.transport.loseConnection()
+            return
+        self._counters.add("watch_late")
+        try:
+            self.take(json.loads(bytes(answer.body)))
+        except (BadListError, ValueError, RecursionError) as error:
+            self._report_bad_list(error)
+            call.connection.transport.loseConnection()
+            return
+        self._note_success()
+        # The calls that are out would bring the same again.
+        self._restart(call.connection if call.connection.open else None)
+
+    def _note_success(self) -> None:
+        self._abandon_late_calls()  # their answers bring nothing newer
+        self._last_call_failed, self._timeouts, self._last_success = False, 0, self._deadlines.now()
+
+    def _report_bad_list(self, error: Exception) -> None:
+        self._counters.add("watch_bad")
+        self._counters.say(f"discovery gave a bad list: {error}"[:300])
--- a/violetsaddle/net/limits.py
+++ b/violetsaddle/net/limits.py
@@ -59,6 +59,7 @@
     watch_wait: int = 2800 * MS  # discovery may hold a watch so long: a silent one is noticed no sooner
     watch_pause: int = 50 * MS  # between calls that bring nothing new; 200 ms would end the watch
     ask: int = 1100 * MS  # for an answer at once; discovery lets a call wait for its turn for 1 s
+    late_answer: int = 5 * SECOND  # after that, what discovery has counts as told; a late answer is of no use
     doubt_wait: int = SECOND  # discovery may hold a watch so long after a failed call
     watch_grace: int = 500 * MS  # and answers so much later at the latest
     silence: int = 0  # without word from discovery for so long its list may be doubted; 0: never
