Accepting is paused for a bounded time: stalled messages make room at the limit

Cause: at the limit accepting was paused until a connection ended by itself, and one with a part of a message was never closed for others, so that nothing made room before its 2 s were over.

Change: at the limit a message of which nothing has come for 100 ms makes room, 20 ms where others have waited for 100 ms. While accepting is paused the node looks for room each 20 ms, real servers' idle connections included; after 400 ms in which the backlog was not empty, connections that find none are closed unread. Sixteen connections are accepted in a turn, none after the pause begins, and a connection that is being closed makes room once.

--- a/tests/test_held_out.py
+++ b/tests/test_held_out.py
@@ -6,6 +6,7 @@
 import os
 import resource
 import select
+import signal
 import socket
 import subprocess
 import sys
@@ -19,6 +20,10 @@
 from tests.scenario import PATIENCE, SETTINGS, Line, Scenario, address, datagrams, listener
 
 ASK = {"discovery": "ask"}
+SHORT_S = 0.5  # seconds that the client of a short request waits
+SHORT = (
+    "POST /api | X-Txn: {} | X-Lane: quote | X-Org: acme | X-Remaining: 500m | Idempotency-Key: k1 | | body"
+)
 READY = 10.0  # seconds, for nine in ten
 
 
@@ -72,6 +77,86 @@
             self.play(f"of-a{n} call a{n} done result=x{n}\nc{n} expect 200 | x{n}")
         self.play("c send job c settle\ns expect X-Txn: c")
 
+    def connect(self) -> Line:
+        line = Line(socket.create_connection(("127.0.0.1", self.port)))
+        self.addCleanup(line.sock.close)
+        return line
+
+    def half_requests(self, count: int) -> list[Line]:
+        """Clients that stop in the middle of a request and stay."""
+        lines = [self.connect() for _ in range(count)]
+        for number, line in enumerate(lines):
+            whole = self.message(SHORT.format(f"half{number}"))
+            line.sock.sendall(whole[: len(whole) // 2])
+        return lines
+
+    def ends_in_time(self, line: Line, sent: float) -> str:
+        """The first line of the answer, empty after a close; in the request's time and half a second."""
+        line.sock.settimeout(max(0.001, sent + SHORT_S + 0.55 - time.monotonic()))
+        try:
+            return line.message().partition("\r\n")[0]
+        except (AssertionError, ConnectionError):
+            return ""
+
+    def test_half_requests_keep_no_usual_request_from_its_answer(self) -> None:
+        # While half requests filled the connections, accepting stopped for 2 s, and who waited heard nothing.
+        self.start(limits={"sockets": 80})
+        halves, answers = self.half_requests(60), []
+        for number in range(10):
+            line, sent = self.connect(), time.monotonic()
+            line.sock.sendall(self.message(SHORT.format(f"usual{number}")))
+            self.next_heard([f"~X-Txn: usual{number}"])
+            self.play(f"s send 202\ns call usual{number} done result=x")
+            answers.append(self.ends_in_time(line, sent))
+        self.assertEqual(answers, ["HTTP/1.1 200 OK"] * 10)
+        for line in halves:
+            self.assertIn(self.ends_in_time(line, time.monotonic() + 2), ("", "HTTP/1.1 408 Request Timeout"))
+        self.play("node send USR1\nnode expect counters | evicted_incomplete= | !faults")
+
+    def test_a_request_that_comes_in_small_parts_is_served_at_the_limit(self) -> None:
+        self.start(limits={"sockets": 80})
+        slow = self.connect()
+        message = self.message(SHORT.replace("500m", "5000m").format("slow"))
+        for start in range(0, len(message) - 1, 4):
+            slow.sock.sendall(message[start : min(start + 4, len(message) - 1)])
+            if start < 80:
+                self.half_requests(1)
+            time.sleep(0.02)
+        slow.sock.sendall(message[-1:])
+        self.play("s expect ~X-Txn: slow\ns send 202\ns call slow done result=x")
+        self.assertIn(" 200 ", slow.message())
+
+    def test_who_finds_no_room_for_long_is_closed_unread(self) -> None:
+        # Open requests kept every connection but two, and half requests these.
+        self.start(limits={"sockets": 80})
+        for n in range(10):
+            self.play(f"c{n} send job a{n} settle\ns expect X-Txn: a{n}\ns send 202")
+        self.program.send_signal(signal.SIGSTOP)
+        halves = self.half_requests(250)
+        line, sent = self.connect(), time.monotonic()
+        line.sock.sendall(self.message(SHORT.format("late")))
+        self.program.send_signal(signal.SIGCONT)
+        self.assertEqual(self.ends_in_time(line, sent), "")
+        for half in halves:
+            self.assertIn(self.ends_in_time(half, time.monotonic() + 2), ("", "HTTP/1.1 408 Request Timeout"))
+        self.play("node send USR1\nnode expect counters | connections_shed= | !faults")
+        for n in range(10):
+            self.play(f"of-a{n} call a{n} done result=x{n}\nc{n} expect 200 | x{n}")
+        self.play("c send job b settle\ns expect X-Txn: b")
+
+    def test_a_full_backlog_does_not_exceed_the_descriptors(self) -> None:
+        # A connection that was being closed made room for one new connection after another.
+        self.start(limits={"sockets": 80})
+        self.play("c send GET /up\nc expect 200")
+        folder, most = f"/proc/{self.program.pid}/fd", 0
+        self.program.send_signal(signal.SIGSTOP)
+        self.half_requests(300)
+        self.program.send_signal(signal.SIGCONT)
+        until = time.monotonic() + 1.0
+        while time.monotonic() < until:
+            most = max(most, len(os.listdir(folder)))
+        self.assertLessEqual(most, 80)
+
     def test_no_descriptor_is_left(self) -> None:
         """A limit under the one the node was told: it neither spins nor ends, and serves on."""
         self.start(servers=1)
--- a/violetsaddle/net/edge.py
+++ b/violetsaddle/net/edge.py
@@ -12,6 +12,7 @@
 
 from violetsaddle import interface as api
 from violetsaddle.net import http
+from violetsaddle.net.accept_gate import AcceptGate
 from violetsaddle.net.arrivals import Arrivals
 from violetsaddle.net.callbacks import apply_callback, parse_callback
 from violetsaddle.net.counters import Counters
@@ -26,6 +27,7 @@
 
 FOREVER = 1 << 62  # microseconds
 CALLBACK_PATH = "/callback"
+LAST_RESORT = 6  # eviction rank of real servers' connections
 TOO_MUCH_HELD = b"too many bytes are held for other requests"
 
 
@@ -64,6 +66,7 @@
         self._close_after_answer = factory.closing
         self._continued = False  # 100 Continue was sent for the current message
         self._lost = False
+        self._evicted = self._aborted = False
         self._overflowed = False  # the client pipelined too many bytes; the rest is discarded
         self._output_blocked = False  # too much of earlier answers is unsent: the next message waits
         # What the buffer, the current request and answers that wait take, and what of it was pipelined.
@@ -77,6 +80,7 @@
         self._no_message_yet = True  # no complete message has been parsed
         self._at_most_one_message = True  # at most the first message has been parsed
         self._wait_started = 0
+        self._stalled_since = 0  # when the last part of an incomplete message was read
         self._unread_since: int | None = None  # earliest time at which the first bytes may have arrived
         self._timeout: Patience | None = None  # None: not connected yet
 
@@ -116,27 +120,51 @@
 
     def eviction_rank(self, now: int) -> tuple[int, int] | None:
         """Returns the sort key for eviction at the connection limit, lowest first; None: never evicted."""
-        # A real server keeps its connection: at the limit it could not connect again to report an outcome.
-        if self.sends_callbacks or self._answer_pending or (self._parser.held and not self._closing):
+        if self._answer_pending or self._output_blocked or self._aborted:
             return None
         settled = now - self._wait_started >= self._shared.limits.edge_settled
+        if self._evicted and not settled:
+            return None  # it is about to end
         if self._closing:
             # The answer is written.  Once the client had time to read it, only unwanted data can follow.
             return (0 if settled else 4), self._wait_started
+        if self._parser.held:
+            stalled = now - self._stalled_since >= self._longest_pause()
+            return (5, self._stalled_since) if stalled else None
+        if self.sends_callbacks:
+            # A real server connects again for its next callback, which costs it time at the limit.
+            return (LAST_RESORT, self._wait_started) if settled else None
         if not self._no_message_yet:
             return 2, self._wait_started
         return (1 if settled else 3), self._wait_started
 
     def evict(self) -> bool:
         """Closes the connection and returns True, unless unread data has arrived meanwhile."""
+        if not self._closing and self._has_unread():
+            return False
+        self._evicted = True
         if self._closing:
             self._abort()
-            return True
-        if self._has_unread():
-            return False
-        self._close_idle()
+        elif self._parser.held:
+            self._evict_incomplete()
+        else:
+            self._close_idle()
         return True
 
+    def _longest_pause(self) -> int:
+        """Microseconds within which the next part of a message has to come at the connection limit."""
+        limits = self._shared.limits
+        return limits.unseen if self._callbacks_only or self._factory.gate.is_pressed else limits.edge_stalled
+
+    def _evict_incomplete(self) -> None:
+        """Refuses the message of which only a part has come, and closes the connection."""
+        self._shared.counters.add("evicted_incomplete")
+        if self._carries_callback():
+            self._abort()  # a real server repeats a callback only if it gets no answer
+            return
+        self._answer(408, close=True)
+        self.transport.loseConnection()  # once the answer has left
+
     def connectionMade(self) -> None:
         """Twisted: the connection is up."""
         self.transport.setTcpNoDelay(True)
@@ -304,11 +332,15 @@
         if not self._factory.held.exceeded or self._answer_pending or self._closing:
             return
         self._shared.counters.add("refused_for_memory")
-        if self.sends_callbacks or self._parser.path == CALLBACK_PATH:
+        if self._carries_callback():
             self._abort()  # a real server repeats a callback only if it gets no answer
         else:
             self._answer(429, TOO_MUCH_HELD, close=True)
 
+    def _carries_callback(self) -> bool:
+        """Whether the message that is being received comes from a real server."""
+        return self.sends_callbacks or self._parser.path == CALLBACK_PATH
+
     def _release_buffers(self) -> None:
         self._parser.clear()
         self._held.set(0)
@@ -359,7 +391,7 @@
         self._answer(error.status, error.text.encode(), close=True)
 
     def _abort(self) -> None:
-        self._closing = True
+        self._closing = self._aborted = True
         self.transport.abortConnection()
 
     def _process_messages(self, starts_message: bool) -> None:
@@ -368,6 +400,7 @@
             if message is None:
                 if self._overflowed:
                     raise http.MalformedError(413, "too much was sent ahead")
+                self._stalled_since = self._shared.deadlines.now()
                 # The first message's timeout runs from the start of the connection.  Started again here, a
                 # client that stays silent at first would get twice the time.
                 if self._parser.held and starts_message and not self._no_message_yet:
@@ -564,10 +597,12 @@
     noisy = False
 
     def __init__(self, shared: Shared) -> None:
-        """`shared`: what the connections share; the owner of the listening port sets `hold`."""
+        """`shared`: what the connections share; the owner of the listening port sets `gate.hold`."""
         self.shared = shared
         self.closing = False  # new connections close with their first answer
-        self.hold: Callable[[bool], None] = lambda held: None  # True pauses accepting, False resumes it
+        self.gate = AcceptGate(
+            shared.limits, shared.deadlines, shared.counters, shared.behind, self._make_room
+        )
         self.at_limit = False  # at the limit with no idle connection: the next answer closes its connection
         self.held = ByteAccount(shared.limits.edge_held_all)
         self.pipelined = ByteAccount(shared.limits.edge_ahead_all)
@@ -577,24 +612,41 @@
         # open here to the other process, and calls the second argument with the status that it answers.
         self.forward_callback: Callable[[bytes, Callable[[int], None]], None] | None = None
 
-    def buildProtocol(self, addr: IAddress | None) -> EdgeConnection:
-        """Twisted: a connection was accepted; at the limit an idle one is closed for it."""
+    def buildProtocol(self, addr: IAddress | None) -> EdgeConnection | None:
+        """Twisted: a connection was accepted; at the limit another one is closed for it.
+
+        None: the connection is to be closed."""
         limits, count = self.shared.limits, len(self.shared.connections) + 1
         if count >= limits.edge_connections and not self._evict_one():
-            # None is idle.  A few connections beyond the limit are accepted for callbacks, without which no
-            # request could end.  Further ones wait in the accept backlog until a connection ends.
+            # None may be closed.  A few connections beyond the limit are accepted for callbacks, without
+            # which no request could end.  Further ones wait in the accept backlog until there is room.
             self.at_limit = True
-            if count >= limits.edge_connections + limits.edge_spare:
-                self.hold(True)
+            most = limits.edge_connections + limits.edge_spare
+            if count >= most and self._make_room():
+                return EdgeConnection(self.shared, self, callbacks_only=True)
+            if count > most and self.gate.sheds:
+                self.gate.shed()
+                return None
+            if count >= most and not self.gate.sheds:
+                self.gate.pause()
             return EdgeConnection(self.shared, self, callbacks_only=count > limits.edge_connections)
         return EdgeConnection(self.shared, self)
 
-    def _evict_one(self) -> bool:
+    def backlog_checked(self, empty: bool) -> None:
+        """As `AcceptGate.backlog_checked`; called by the listening port."""
+        self.gate.backlog_checked(empty)
+
+    def _make_room(self) -> bool:
+        """Closes a connection, of a real server too if there is no other; returns whether it did."""
+        return self._evict_one(LAST_RESORT)
+
+    def _evict_one(self, last_rank: int = LAST_RESORT - 1) -> bool:
+        """Closes the connection with the lowest rank up to `last_rank`; returns whether there is one."""
         now = self.shared.deadlines.now()
         candidates = [
             (rank, number, c)
             for number, c in enumerate(self.shared.connections)
-            if (rank := c.eviction_rank(now)) is not None
+            if (rank := c.eviction_rank(now)) is not None and rank[0] <= last_rank
         ]
         heapify(candidates)
         # A connection with an unread request refuses, and the next one is tried.
@@ -604,7 +656,7 @@
         """Resumes accepting below the limit and calls `when_gone` and `when_empty`."""
         if self.at_limit:
             self.at_limit = len(self.shared.connections) >= self.shared.limits.edge_connections
-            self.hold(False)
+            self.gate.resume()
         if self.when_gone is not None:
             self.when_gone()
         if self.when_empty is not None and not len(self.shared.connections):
--- a/violetsaddle/net/limits.py
+++ b/violetsaddle/net/limits.py
@@ -45,6 +45,11 @@
     edge_first: int = 2 * SECOND  # from a connection's start to its first message's last byte
     edge_read: int = 2 * SECOND  # from a later message's first byte to its last
     edge_settled: int = 300 * MS  # a client that will ask has sent its first byte by then
+    # At the connection limit a message of which nothing more has come for so long makes room,
+    edge_stalled: int = 100 * MS
+    edge_look: int = 20 * MS  # which is looked for so often while accepting is paused.
+    # Connections that wait for longer in the backlog are closed unread: their clients try again in time.
+    edge_backlog_wait: int = 400 * MS
     unseen: int = 20 * MS  # a client's end may lie unread so long and an attempt still leave: 100 ms may pass
     edge_ahead: int = 256 * 1024  # what a client sends ahead of its answer is kept up to so much,
     edge_ahead_all: int = 8 * 1024 * 1024  # and what all clients do; the rest is passed over,
--- a/violetsaddle/net/node.py
+++ b/violetsaddle/net/node.py
@@ -229,7 +229,7 @@
         self._join(datagrams)
         port = self.reactor.adoptStreamPort(listener.fileno(), listener.family, self.edge)
         if paused:
-            self._port, self.edge.hold = port, self._hold
+            self._port, self.edge.gate.hold = port, self._hold
             self.pause()
         else:
             self._listens(port)
@@ -267,7 +267,7 @@
 
     def _listens(self, port: Any) -> None:
         self._port = port
-        self.edge.hold = self._hold
+        self.edge.gate.hold = self._hold
         at = port.getHost()
         self.counters.say(f"listening on {at.host}:{at.port}")
 
@@ -281,6 +281,7 @@
     def pause(self) -> None:
         """New connections, datagrams and the word to the peers are another process's from now on."""
         self._paused = True
+        self.edge.gate.connections_wait()
         if self._port is not None:
             self._port.stopReading()
         if self._peers is not None:
@@ -291,7 +292,7 @@
         """Accepts, reads datagrams and tells peers again after `pause`."""
         self._paused = self.edge.closing = False
         self.requests.when_idle = self.edge.when_empty = None
-        self._hold(self.edge.at_limit)
+        self._hold(self.edge.gate.paused)
         if self._peers is not None:
             self._peers.resume()
         self.requests.peer_sender = self._peers
--- a/violetsaddle/net/transports.py
+++ b/violetsaddle/net/transports.py
@@ -33,6 +33,7 @@
 )
 MAX_FAILING_S = 3.0  # a connection whose calls fail for longer counts as ended
 LAST_DATA_RECEIVED_OFFSET = 52  # bytes into `struct tcp_info`, of tcpi_last_data_recv (32 bits, milliseconds)
+MAX_ACCEPTS = 16  # connections accepted in one reactor turn
 RETRY_DELAY_S = 0.005  # until a failed call is repeated
 
 
@@ -188,9 +189,60 @@
 
 
 class ListeningPort(_Port):  # type: ignore[misc]
-    """A listening socket whose connections are `ServerTransport`s."""
+    """A listening socket whose connections are `ServerTransport`s.
+
+    It accepts few connections in a turn, and none after `stopReading`: the owner of the port counts those
+    that it closes for new ones only once their turn has ended."""
 
     transport = ServerTransport
+    factory: Any
+    socket: Any
+    sessionno: int
+    _accepts = False
+
+    def startReading(self) -> None:
+        """Twisted: starts or resumes accepting."""
+        self._accepts = True
+        super().startReading()
+
+    def stopReading(self) -> None:
+        """Twisted: stops accepting; connections wait in the backlog."""
+        self._accepts = False
+        super().stopReading()
+
+    def doRead(self) -> None:
+        """Twisted: connections wait in the backlog."""
+        self._report_backlog(self._accept_some())
+
+    def _accept_some(self) -> bool:
+        """Accepts up to `MAX_ACCEPTS` connections; returns whether none is left."""
+        for _ in range(MAX_ACCEPTS):
+            if not self._accepts:
+                return False
+            try:
+                accepted, address = self.socket.accept()
+            except BlockingIOError:
+                return True
+            except OSError:
+                self.numberAccepts = 1
+                super().doRead()  # logs the error; without descriptors it closes who waits
+                return False
+            self._begin(accepted, address)
+        return False
+
+    def _report_backlog(self, empty: bool) -> None:
+        report = getattr(self.factory, "backlog_checked", None)
+        if report is not None:
+            report(empty)
+
+    def _begin(self, accepted: socket.socket, address: Any) -> None:
+        protocol = self.factory.buildProtocol(self._buildAddr(address))
+        if protocol is None:
+            accepted.close()
+            return
+        session = self.sessionno = self.sessionno + 1
+        transport = self.transport(accepted, protocol, address, self, session, self.reactor)
+        protocol.makeConnection(transport)
 
 
 class Connector(_Connector):  # type: ignore[misc]
