The time that a request waits to be accepted counts

Cause: for how long bytes had lain unread was asked of the kernel only where the reactor had not polled for 20 ms; it polls all the time while accepting alone is paused.

Change: the gate knows since when connections may have waited in the backlog: since a pause, since a turn that left some, since another process took over accepting. A new connection asks the kernel when its bytes came where that is over 20 ms ago. The 2 s of a half request count from its bytes too.

The four tests added fail with this change taken out and pass with it.

--- a/tests/test_remaining.py
+++ b/tests/test_remaining.py
@@ -7,11 +7,21 @@
 
 import re
 import signal
+import socket
+import struct
 import threading
 import time
+from typing import Any
+
+import pytest
 
 from tests.held import Held
 from tests.scenario import address, listener
+from tests.wired import Net
+from violetsaddle.interface import ACTIVE, RequestClass, Settings
+from violetsaddle.net.edge import EdgeConnection, EdgeFactory, Shared
+from violetsaddle.net.limits import SECOND
+from violetsaddle.net.transports import LAST_DATA_RECEIVED_OFFSET
 
 TOLERANCE_S = 0.15
 QUEUE_TIME_S = 0.6  # in the kernel buffer or behind another request
@@ -86,3 +96,102 @@
             self.program.send_signal(signal.SIGCONT)
             self.assert_remaining(name, sent)
             self.play("s send 202")
+
+
+class ClientTransport:
+    """An accepted connection, on which bytes have lain in the kernel for `unread_ms`."""
+
+    def __init__(self, unread_ms: int) -> None:
+        self.unread_ms = unread_ms
+        self.dataBuffer, self.offset, self._tempDataLen = b"", 0, 0
+        self.written = b""
+        self.closed = False
+
+    def getHandle(self) -> ClientTransport:
+        return self
+
+    def getsockopt(self, level: int, option: int, size: int) -> bytes:
+        assert (level, option) == (socket.IPPROTO_TCP, socket.TCP_INFO)
+        return bytes(LAST_DATA_RECEIVED_OFFSET) + struct.pack("=I", self.unread_ms)
+
+    def recv(self, size: int, flags: int) -> bytes:
+        raise BlockingIOError
+
+    def setTcpNoDelay(self, on: bool) -> None:
+        pass
+
+    def write(self, data: bytes) -> None:
+        self.written += data
+
+    def loseConnection(self) -> None:
+        self.closed = True
+
+    loseWriteConnection = loseConnection
+
+
+class Accepting:
+    """A node that was busy with nothing while accepting was paused."""
+
+    def __init__(self) -> None:
+        self.net = Net(Settings(classes=(RequestClass(aim=SECOND, deadline=9 * SECOND),)))
+        self.net.listed("snapshot", one=(ACTIVE, 0, 1))
+        shared = Shared(
+            self.net.requests,
+            self.net.limits,
+            self.net.deadlines,
+            self.net.counters,
+            self.net.servers.report,
+            lambda: 0,
+        )
+        self.factory = EdgeFactory(shared)
+
+    def accept(self, unread_ms: int, data: bytes) -> tuple[EdgeConnection, ClientTransport]:
+        connection, transport = self.factory.buildProtocol(None), ClientTransport(unread_ms)
+        assert connection is not None
+        typed: Any = transport
+        connection.transport = typed
+        connection.connectionMade()
+        connection.dataReceived(data)
+        return connection, transport
+
+    def left(self, job: str) -> int:
+        """Microseconds until the deadline of an open request."""
+        requests = self.net.requests
+        request = requests._table.get(requests._by_job[job])
+        assert request is not None
+        return request.deadline - self.net.now
+
+
+REQUEST = (
+    b"POST /api HTTP/1.1\r\nHost: n\r\nX-Txn: %s\r\nX-Lane: 0\r\n"
+    b"X-Remaining: 5000m\r\nContent-Length: 0\r\n\r\n"
+)
+
+
+@pytest.mark.parametrize("cause", ["paused", "cut short", "upgrade"])
+def test_time_in_the_accept_backlog_counts(cause: str) -> None:
+    # The reactor polled all the time, so a request that waited 1.4 s to be accepted was given its 5 s anew.
+    node = Accepting()
+    if cause == "paused":
+        node.factory.gate.pause()
+    elif cause == "cut short":
+        node.factory.backlog_checked(empty=False)
+    else:
+        node.factory.gate.connections_wait()
+    node.net.clock.advance(1.5)
+    node.accept(1400, REQUEST % b"waited")
+    assert 3.5 * SECOND < node.left("waited") <= 3.6 * SECOND
+    node.factory.backlog_checked(empty=True)
+    node.accept(0, REQUEST % b"new")
+    assert node.left("new") > 4.9 * SECOND
+
+
+def test_a_half_request_that_waited_in_the_backlog_ends_2_s_after_it_came() -> None:
+    node = Accepting()
+    node.factory.gate.pause()
+    node.net.clock.advance(1.5)
+    _, transport = node.accept(1400, REQUEST[:40])
+    node.net.clock.advance(0.59)
+    assert not transport.written
+    node.net.clock.advance(0.02)
+    assert transport.written.startswith(b"HTTP/1.1 408 ") and transport.closed
--- a/violetsaddle/net/edge.py
+++ b/violetsaddle/net/edge.py
@@ -177,9 +177,9 @@
                 connection.timed_out()
 
         self._timeout = Patience(self._shared.deadlines, on_timeout)
-        behind = self._shared.behind()
-        if behind > self._shared.limits.unseen:
-            self._unread_since = self._shared.deadlines.now() - behind
+        waited = self._factory.gate.waited
+        if waited > self._shared.limits.unseen:
+            self._unread_since = self._shared.deadlines.now() - waited
         self._shared.counters.add("edge_connections")
         self._start_timeout(self._shared.limits.edge_first)
 
@@ -207,6 +207,10 @@
         if self._timeout is not None and not self._lost:
             self._timeout.set(time)
 
+    def _shorten_timeout(self, time: int) -> None:
+        if self._timeout is not None and self._timeout.until > self._shared.deadlines.now() + time:
+            self._timeout.set(time)
+
     def _stop_timeout(self) -> None:
         """Stops the timeout while a request is processed: its own deadline applies."""
         if self._timeout is not None:
@@ -405,6 +409,8 @@
                 # client that stays silent at first would get twice the time.
                 if self._parser.held and starts_message and not self._no_message_yet:
                     self._start_timeout(self._shared.limits.edge_read)
+                elif starts_message and self._read_delay:
+                    self._shorten_timeout(self._shared.limits.edge_first - self._read_delay)
                 if self._parser.wants_continue and not self._continued:
                     self._continued = True
                     self.transport.write(http.CONTINUE)
