--- a/tests/test_remaining.py
+++ b/tests/test_remaining.py
@@ -195,3 +195,13 @@
     assert not transport.written
     node.net.clock.advance(0.02)
     assert transport.written.startswith(b"HTTP/1.1 408 ") and transport.closed
+
+
+def test_a_connection_stays_open_after_a_request_that_waited_in_the_backlog() -> None:
+    node = Accepting()
+    node.factory.gate.pause()
+    node.net.clock.advance(1.5)
+    _, transport = node.accept(1400, b"GET /up HTTP/1.1\r\nHost: n\r\n\r\n")
+    assert transport.written.startswith(b"HTTP/1.1 200 ")
+    node.net.clock.advance(10)
+    assert not transport.closed
--- a/violetsaddle/net/edge.py
+++ b/violetsaddle/net/edge.py
@@ -207,9 +207,14 @@
         if self._timeout is not None and not self._lost:
             self._timeout.set(time)
 
-    def _shorten_timeout(self, time: int) -> None:
-        if self._timeout is not None and self._timeout.until > self._shared.deadlines.now() + time:
-            self._timeout.set(time)
+    def _set_message_timeout(self) -> None:
+        """Limits the time for the rest of a message whose first part has just been read."""
+        if not self._no_message_yet:
+            self._start_timeout(self._shared.limits.edge_read)
+        elif self._read_delay and self._timeout is not None:
+            left = self._shared.limits.edge_first - self._read_delay
+            if self._timeout.until > self._shared.deadlines.now() + left:
+                self._timeout.set(left)
 
     def _stop_timeout(self) -> None:
         """Stops the timeout while a request is processed: its own deadline applies."""
@@ -407,10 +412,8 @@
                 self._stalled_since = self._shared.deadlines.now()
                 # The first message's timeout runs from the start of the connection.  Started again here, a
                 # client that stays silent at first would get twice the time.
-                if self._parser.held and starts_message and not self._no_message_yet:
-                    self._start_timeout(self._shared.limits.edge_read)
-                elif starts_message and self._read_delay:
-                    self._shorten_timeout(self._shared.limits.edge_first - self._read_delay)
+                if self._parser.held and starts_message:
+                    self._set_message_timeout()
                 if self._parser.wants_continue and not self._continued:
                     self._continued = True
                     self.transport.write(http.CONTINUE)
