Fields of heads, copies of requests and times of bytes count against the memory

Cause: bytes were counted, the objects made of them were not: 22 KiB a head for its fields, a copy of each rare name, the copy of an open request's head. The limits of small nodes did not add up to their memory.

Change: the fields are two compact tables, counted with the buffer; rare names are read from the buffer; the copy of an open request and the times of waiting bytes count. Limits.of divides what a node has beyond itself and its connections; nodes of 80 MB with 576 descriptors and larger ones keep the limits that they had.

After the last client nothing is counted.

--- a/tests/test_held_bytes.py
+++ b/tests/test_held_bytes.py
@@ -146,6 +146,40 @@
         self.assertGreater(self.counted("refused_for_memory"), 0)
         self.grown_at_most(32 * MIB // 3 + len(bad) * (LIMITS.edge_uncounted + CONNECTION_OBJECTS) + SLACK)
 
+    def stays_within(self, memory_mb: int, message: bytes, pieces: int) -> None:
+        """600 clients write `message` in so many pieces and stay: the node keeps to its memory."""
+        self.start(limits={"sockets": 1024, "memory_mb": memory_mb})
+        self.serves("a")
+        bad = self.clients(600)
+        size = -(-len(message) // pieces)
+        for start in range(0, len(message), size):
+            for client in bad:
+                send(client, [message[start : start + size]])
+        self.serves("b")
+        for client in bad:
+            self.assertIn(status(client), (0, 408, 429))
+        self.assertLessEqual(self.resident("VmHWM"), memory_mb * MIB)
+        for client in bad:
+            client.close()
+        self.serves("c")
+        self.assertEqual(self.counted("held_client_bytes"), 0)
+
+    def test_hundreds_of_heads_of_many_fields_and_half_bodies_fit_into_the_memory(self) -> None:
+        # A node of 64 MB held 73 MB: the objects made of each field were not counted.
+        names = b"".join(b"N%065d:\r\n" % number for number in range(90))
+        message = SIZED.replace(b"\r\nContent", b"\r\n" + names + b"Content") % (b"half", LIMITS.body)
+        for memory_mb in (64, 32):
+            with self.subTest(memory_mb):
+                self.stays_within(memory_mb, message + b"x" * 48_000, 1)
+                self.end()
+
+    def test_hundreds_of_clients_that_write_slowly_fit_into_the_memory(self) -> None:
+        message = SIZED % (b"slow", LIMITS.body) + b"x" * 60_000
+        for memory_mb in (64, 32):
+            with self.subTest(memory_mb):
+                self.stays_within(memory_mb, message, 40)
+                self.end()
+
     def test_pipelined_bytes_count_after_the_first_answer_too(self) -> None:
         # The count of bytes sent ahead went to 0 as the next request was taken, though they were still held.
         self.start(servers=1)
@@ -250,8 +284,36 @@
 
 def test_long_header_names_are_not_cached() -> None:
     # 256 names of 16 KiB each stayed in memory for good.
-    before = len(http._LOWER_NAMES)
+    before = len(http._KNOWN_NAMES)
     parser = http.Parser(LIMITS, LIMITS.body)
     parser.feed(b"GET /up HTTP/1.1\r\nHost: n\r\n" + b"X" * 10_000 + b": 1\r\n\r\n")
     assert parser.next() is not None
-    assert all(len(name) < 100 for name in http._LOWER_NAMES) and len(http._LOWER_NAMES) <= before + 1
+    assert all(len(name) < 100 for name in http._KNOWN_NAMES) and len(http._KNOWN_NAMES) <= before + 1
+
+
+def test_rare_header_names_are_read_once_the_cache_is_full() -> None:
+    # Ever new names fill the cache for good; what other clients send is read all the same.
+    parser = http.Parser(LIMITS, LIMITS.body)
+    for number in range(300):
+        parser.feed(b"GET /up HTTP/1.1\r\nHost: n\r\nNew-%d: 1\r\n\r\n" % number)
+        assert parser.next() is not None
+    parser.feed(
+        b"POST /api HTTP/1.1\r\nhOST: n\r\nX-tXN: a\r\nx-TXN:\tb\r\nCONNECTION: close\r\nX-Other:c\r\n"
+        b"cONTENT-lENGTH: 2\r\n\r\nok"
+    )
+    message = parser.next()
+    assert message is not None and bytes(message.body) == b"ok" and not message.keeps_alive
+    assert (message.header("x-txn"), message.header("x-other")) == ("a, b", "c")
+    assert message.copy_lines(http.HOP_BY_HOP | {"x-other"}) == b"X-tXN: a\r\nx-TXN:\tb\r\n"
+
+
+def test_a_head_of_very_many_short_fields_is_counted_whole() -> None:
+    # Its fields took 22 KiB of objects in each connection, which nothing counted.
+    parser = http.Parser(LIMITS, LIMITS.body)
+    fields = b"".join(b"n%x:\r\n" % number for number in range(LIMITS.fields - 2))
+    parser.feed(b"POST /api HTTP/1.1\r\nHost: n\r\n" + fields + b"Content-Length: 9\r\n\r\n")
+    assert parser.next() is None
+    headers = parser._headers
+    assert len(headers.names) == LIMITS.fields
+    assert headers.allocated <= 32 * LIMITS.fields + 256
+    assert parser.allocated >= parser._buffer.__alloc__() + headers.allocated
--- a/violetsaddle/net/arrivals.py
+++ b/violetsaddle/net/arrivals.py
@@ -8,6 +8,7 @@
 
 ARRIVAL_RESOLUTION = 10 * MS  # bytes that arrive within this time share one entry
 MAX_ENTRIES = 64
+ENTRY_SIZE = 136  # bytes: a tuple of two numbers, and its place in the queue
 
 
 class Arrivals:
@@ -22,6 +23,11 @@
             deque()
         )  # bytes fed in total, arrival of the first in this entry
 
+    @property
+    def allocated(self) -> int:
+        """Bytes of memory that the entries occupy."""
+        return ENTRY_SIZE * len(self._marks)
+
     def record(self, size: int, at: int) -> None:
         """Records `size` bytes that arrived at `at`, in microseconds, not before the previous ones."""
         self._fed += size
--- a/violetsaddle/net/edge.py
+++ b/violetsaddle/net/edge.py
@@ -72,7 +72,7 @@
         # What the buffer, the current request and answers that wait take, and what of it was pipelined.
         # Neither counts the first `edge_uncounted` bytes of the connection.
         self._held, self._pipelined = Share(factory.held), Share(factory.pipelined)
-        self._body_size = 0  # bytes of the current request's body
+        self._order_size = 0  # bytes of the current request that are kept until it is answered
         self._discarded_bytes = 0
         self._last_unsent = -1  # bytes that the kernel had not taken at the last check
         self._parsing = False
@@ -321,15 +321,18 @@
 
     def _update_held(self) -> None:
         """As `_count_held`, which few connections need: most never hold more than `edge_uncounted` bytes."""
-        if self._held.size or self._parser.held > self._shared.limits.edge_uncounted:
+        held = self._parser.held + (self._arrivals.allocated if self._arrivals is not None else 0)
+        if self._held.size or held > self._shared.limits.edge_uncounted:
             self._count_held()
 
     def _count_held(self) -> None:
         """Brings up to date what this connection adds to the bytes that all connections hold."""
         limits = self._shared.limits
         size = self._parser.allocated
+        if self._arrivals is not None:
+            size += self._arrivals.allocated
         if self._answer_pending:
-            size += self._body_size
+            size += self._order_size
         if self._output_blocked:
             size += unsent(self.transport)
         self._held.set(max(0, size - limits.edge_uncounted))
@@ -512,9 +515,10 @@
             slots = parse_label(message.header("x-labels"), "slots", 1.0)
             if cls is None:
                 raise InvalidRequestError("X-Lane is missing")
-            self._body_size = len(message.body)
+            order = HttpOrder(message)
+            self._order_size = order.size
             self._answer_pending = True
-            if self._body_size > limits.edge_uncounted and not self._may_hold_body():
+            if self._order_size > limits.edge_uncounted and not self._may_hold_order():
                 return
             self._stop_timeout()
             number = self._shared.requests.arrive(
@@ -526,7 +530,7 @@
                 slots,
                 hash_subject(query),
                 parse_estimate(message.header("x-estimate")),
-                HttpOrder(message),
+                order,
                 self,
             )
             self._request = number
@@ -535,8 +539,8 @@
             self._update_held()
             self._answer(400, str(error).encode())
 
-    def _may_hold_body(self) -> bool:
-        """Whether the body of the current request may be held until it is answered; refuses it if not."""
+    def _may_hold_order(self) -> bool:
+        """Whether the current request may be held until it is answered; refuses it if not."""
         self._count_held()
         if not self._factory.held.exceeded:
             return True
@@ -557,7 +561,7 @@
             return
         self._shared.counters.add("callbacks")
         if self._factory.forward_callback is not None and not self._shared.requests.holds(callback["id"]):
-            self._answer_pending, self._body_size = True, len(body)
+            self._answer_pending, self._order_size = True, len(body)
             self._stop_timeout()
             self._factory.forward_callback(body, self._final)
             return
--- a/violetsaddle/net/http.py
+++ b/violetsaddle/net/http.py
@@ -6,6 +6,7 @@
 from __future__ import annotations
 
 import re
+from array import array
 
 from violetsaddle.net.body import BodyReader, ChunkedBody, SizedBody, UnsizedBody
 from violetsaddle.net.body import MalformedError as MalformedError
@@ -53,55 +54,83 @@
 )
 
 
-# Cache of header names in lower case: the same few names come with every message.
-_LOWER_NAMES: dict[bytes, str] = {}
-_MAX_CACHED_NAMES = 256
-_MAX_CACHED_NAME_LENGTH = 64  # bytes
+# Header names in lower case, by their bytes: the same few names come with every message.
+_KNOWN_NAMES: dict[bytes, str] = {}
+_OWN_NAMES = {name: name for name in FRAMING_HEADERS | HOP_BY_HOP}  # which this module looks for
+_MAX_KNOWN_NAMES = 256
+_MAX_KNOWN_NAME_LENGTH = 64  # bytes
 
 
-def _lower_name(name: bytes) -> str:
-    lower = _LOWER_NAMES.get(name)
-    if lower is None:
-        lower = name.decode("ascii").lower()
-        if len(_LOWER_NAMES) < _MAX_CACHED_NAMES and len(name) <= _MAX_CACHED_NAME_LENGTH:
-            _LOWER_NAMES[name] = lower
-    return lower
+def _known_name(name: bytes) -> str | None:
+    """Returns a header's name in lower case; None for a rare one, of which no copy is to be kept."""
+    known = _KNOWN_NAMES.get(name)
+    if known is None:
+        known = name.decode("ascii").lower()
+        if known in _OWN_NAMES:
+            return _OWN_NAMES[known]
+        if len(_KNOWN_NAMES) >= _MAX_KNOWN_NAMES or len(name) > _MAX_KNOWN_NAME_LENGTH:
+            return None
+        _KNOWN_NAMES[name] = known
+    return known
+
+
+class Headers:
+    """Where the header lines of a message lie in its buffer.
+
+    There is one for each message that is being received, so it is compact: a few bytes for each line."""
 
+    __slots__ = ("names", "offsets")
 
-# A header's name in lower case, and the offsets: line start, value start, value end, line end.
-HeaderSpan = tuple[str, int, int, int, int]
+    def __init__(self) -> None:
+        """Starts without lines."""
+        self.names: list[str | None] = []  # in lower case; None: a rare name, which is only in the buffer
+        self.offsets = array("I")  # for each line: line start, value start, value end, line end
+
+    @property
+    def allocated(self) -> int:
+        """Bytes of memory that it occupies."""
+        return self.names.__sizeof__() + self.offsets.__sizeof__()
 
 
 class Message:
     """A complete request or answer."""
 
-    __slots__ = ("start", "body", "unambiguous", "delimited", "_view", "_spans", "_values")
+    __slots__ = ("start", "body", "unambiguous", "delimited", "_view", "_headers", "_values")
 
     def __init__(
-        self, start: tuple[str, str, str], view: memoryview, spans: list[HeaderSpan], body: memoryview
+        self, start: tuple[str, str, str], view: memoryview, headers: Headers, body: memoryview
     ) -> None:
-        """`start`: the three parts of the start line; `view`: the message's buffer; `spans`: the positions of
-        the headers in `view`."""
-        self.start, self._view, self._spans, self.body = start, view, spans, body
+        """`start`: the three parts of the start line; `view`: the message's buffer; `headers`: the positions
+        of the header lines in `view`."""
+        self.start, self._view, self._headers, self.body = start, view, headers, body
         self._values: dict[str, str] = {}
         self.unambiguous = True  # False: it may be a late answer to an earlier request of its connection
         self.delimited = True  # its length was given; without one, the end of the connection may truncate it
 
     def header(self, name: str) -> str | None:
         """Returns a header's value; `name` is in lower case.  Repeated headers are joined with commas."""
-        if not self._values and self._spans:
-            values = self._values
-            for key, _, begin, end, _ in self._spans:
-                value = str(self._view[begin:end], "latin-1")
+        if not self._values:
+            values, offsets = self._values, self._headers.offsets
+            for index, key in enumerate(self._headers.names):
+                value = str(self._view[offsets[4 * index + 1] : offsets[4 * index + 2]], "latin-1")
+                if key is None:
+                    key = self._rare_name(index)
                 values[key] = f"{values[key]}, {value}" if key in values else value
         return self._values.get(name)
 
+    def _rare_name(self, index: int) -> str:
+        """Returns the name in the header line with this index, in lower case."""
+        line_start, value_start = self._headers.offsets[4 * index : 4 * index + 2]
+        return str(self._view[line_start:value_start], "latin-1").partition(":")[0].lower()
+
     def copy_lines(self, excluded: frozenset[str]) -> bytes:
         """Returns the unchanged header lines except those of `excluded`, names in lower case."""
         runs, begin, end = [], -1, -1  # adjacent lines are copied as one run
-        for key, line_start, _, _, line_end in self._spans:
-            if key in excluded:
+        offsets = self._headers.offsets
+        for index, key in enumerate(self._headers.names):
+            if (self._rare_name(index) if key is None else key) in excluded:
                 continue
+            line_start, line_end = offsets[4 * index], offsets[4 * index + 3]
             if line_start != end:
                 if begin >= 0:
                     runs.append(self._view[begin:end])
@@ -137,7 +166,7 @@
     def _reset(self) -> None:
         self._scanned = 0
         self._start: tuple[str, str, str] | None = None
-        self._headers: list[HeaderSpan] = []
+        self._headers = Headers()
         self._body_start = 0
         self._length = 0  # of a body without a reader, in bytes
         self._body: BodyReader | None = None
@@ -153,8 +182,8 @@
 
     @property
     def allocated(self) -> int:
-        """Bytes of memory that the buffer occupies."""
-        return self._buffer.__alloc__()
+        """Bytes of memory that the message being received occupies."""
+        return self._buffer.__alloc__() + self._headers.allocated
 
     def clear(self) -> None:
         """Drops all buffered bytes and releases their memory."""
@@ -174,7 +203,7 @@
     @property
     def wants_continue(self) -> bool:
         """Whether a head was received whose client expects 100 Continue before it sends the body."""
-        return self._start is not None and any(header[0] == "expect" for header in self._headers)
+        return self._start is not None and "expect" in self._headers.names
 
     def next(self) -> Message | None:
         """Returns the next message, or None while it is incomplete; raises `MalformedError`."""
@@ -270,8 +299,10 @@
         while value_end > value_start and buffer[value_end - 1] in b" \t":
             value_end -= 1
         line_end = line.end()
-        self._headers.append((_lower_name(line[1]), line_start, value_start, value_end, line_end))
-        if len(self._headers) > self._limits.fields:
+        names = self._headers.names
+        names.append(_known_name(line[1]))
+        self._headers.offsets.extend((line_start, value_start, value_end, line_end))
+        if len(names) > self._limits.fields:
             raise MalformedError(431, "the head holds too many headers")
         return line_end
 
@@ -279,9 +310,11 @@
         """Finds out from the headers where the body ends."""
         buffer = self._buffer
         lengths, encodings, hosts = [], [], 0
-        for name, _, value_start, value_end, _ in self._headers:
+        offsets = self._headers.offsets
+        for index, name in enumerate(self._headers.names):
             if name not in FRAMING_HEADERS:
                 continue
+            value_start, value_end = offsets[4 * index + 1], offsets[4 * index + 2]
             if name == "content-length":
                 lengths.append(bytes(buffer[value_start:value_end]))
             elif name == "transfer-encoding":
--- a/violetsaddle/net/http_order.py
+++ b/violetsaddle/net/http_order.py
@@ -26,6 +26,11 @@
             + b"Content-Length: %d\r\n" % len(self._body)
         )
 
+    @property
+    def size(self) -> int:
+        """Bytes of memory that the copy occupies."""
+        return len(self._head) + len(self._body)
+
     def message(self, host: str, wait: int) -> Sequence[bytes]:
         """As `requests.Order.message`; X-Remaining is at least 1 microsecond."""
         return self._head, f"Host: {host}\r\nX-Remaining: {max(1, wait)}u\r\n\r\n".encode("ascii"), self._body
--- a/violetsaddle/net/limits.py
+++ b/violetsaddle/net/limits.py
@@ -10,7 +10,10 @@
 SECOND = 1_000 * MS
 MIB = 1024 * 1024  # bytes
 DEFAULT_MEMORY = 192 * MIB  # of a node whose configuration names no limit
-LEAST_HELD = 8 * MIB  # that all client connections may hold together, however small the node
+PROCESS_MEMORY = 26 * MIB  # of a node without connections
+CONNECTION_MEMORY = 6 * 1024  # bytes of the objects of one connection
+LEAST_HELD = 2 * MIB  # that all client connections may hold together, however small the node
+LEAST_UNCOUNTED = 1024  # bytes of each client connection, so that small messages are never refused
 SPARE_DESCRIPTORS = 64  # for files, the reactor, the listener and discovery
 
 
@@ -81,15 +84,22 @@
     def of(cls, told: Settings, sockets: int, memory: int = DEFAULT_MEMORY) -> Limits:
         """For a node with these settings that may have so many sockets open and occupy `memory` bytes."""
         usable = max(16, sockets - SPARE_DESCRIPTORS)
+        edge_connections, edge_spare = usable * 5 // 8, max(2, usable // 32)
+        # What is left for messages, of which each client connection has a part that is not counted.
+        clients = edge_connections + edge_spare
+        free = memory - PROCESS_MEMORY - (clients + usable // 3) * CONNECTION_MEMORY
+        held_all = max(LEAST_HELD, min(memory // 3, free * 2 // 3))
+        uncounted = min(cls.edge_uncounted, max(LEAST_UNCOUNTED, (free - held_all) // clients))
         # SIGKILL comes 0.7 s after the longest deadline, or after 3 s where that is longer.
         longest = min(3 * SECOND, max(c.deadline for c in told.classes))
         last_word = longest + 700 * MS - 300 * MS
         # What comes as unused connections close has the longest deadline, or 0.9 s.
         keep_idle = max(500 * MS, last_word - min(longest, 900 * MS))
         return cls(
-            edge_connections=usable * 5 // 8,
-            edge_spare=max(2, usable // 32),
-            edge_held_all=max(LEAST_HELD, memory // 3),
+            edge_connections=edge_connections,
+            edge_spare=edge_spare,
+            edge_held_all=held_all,
+            edge_uncounted=uncounted,
             server_connections=usable // 3,
             dial=told.connect_timeout,
             server_idle=max(told.keepalive // 2, told.keepalive - 500 * MS),
