Fields of a head are read again when the body is whole instead of being kept

The objects of the fields are made as before now, dropped while a body is awaited, and read from the buffer again when it is whole, which a message that comes in one read never needs.

--- a/violetsaddle/net/edge.py
+++ b/violetsaddle/net/edge.py
@@ -207,8 +207,13 @@
         if self._timeout is not None and not self._lost:
             self._timeout.set(time)
 
-    def _set_message_timeout(self) -> None:
-        """Limits the time for the rest of a message whose first part has just been read."""
+    def _await_rest(self, starts_message: bool) -> None:
+        """Limits the time for the rest of a message of which a part has been read."""
+        self._stalled_since = self._shared.deadlines.now()
+        if not starts_message:
+            return
+        # The first message's timeout runs from the start of the connection.  Started again here, a client
+        # that stays silent at first would get twice the time.
         if not self._no_message_yet:
             self._start_timeout(self._shared.limits.edge_read)
         elif self._read_delay and self._timeout is not None:
@@ -321,8 +326,11 @@
 
     def _update_held(self) -> None:
         """As `_count_held`, which few connections need: most never hold more than `edge_uncounted` bytes."""
-        held = self._parser.held + (self._arrivals.allocated if self._arrivals is not None else 0)
-        if self._held.size or held > self._shared.limits.edge_uncounted:
+        if (
+            self._held.size
+            or self._arrivals is not None
+            or self._parser.held > self._shared.limits.edge_uncounted
+        ):
             self._count_held()
 
     def _count_held(self) -> None:
@@ -412,11 +420,8 @@
             if message is None:
                 if self._overflowed:
                     raise http.MalformedError(413, "too much was sent ahead")
-                self._stalled_since = self._shared.deadlines.now()
-                # The first message's timeout runs from the start of the connection.  Started again here, a
-                # client that stays silent at first would get twice the time.
-                if self._parser.held and starts_message:
-                    self._set_message_timeout()
+                if self._parser.held:
+                    self._await_rest(starts_message)
                 if self._parser.wants_continue and not self._continued:
                     self._continued = True
                     self.transport.write(http.CONTINUE)
--- a/violetsaddle/net/http.py
+++ b/violetsaddle/net/http.py
@@ -6,7 +6,6 @@
 from __future__ import annotations
 
 import re
-from array import array
 
 from violetsaddle.net.body import BodyReader, ChunkedBody, SizedBody, UnsizedBody
 from violetsaddle.net.body import MalformedError as MalformedError
@@ -54,83 +53,55 @@
 )
 
 
-# Header names in lower case, by their bytes: the same few names come with every message.
-_KNOWN_NAMES: dict[bytes, str] = {}
-_OWN_NAMES = {name: name for name in FRAMING_HEADERS | HOP_BY_HOP}  # which this module looks for
-_MAX_KNOWN_NAMES = 256
-_MAX_KNOWN_NAME_LENGTH = 64  # bytes
+# Cache of header names in lower case: the same few names come with every message.
+_LOWER_NAMES: dict[bytes, str] = {}
+_MAX_CACHED_NAMES = 256
+_MAX_CACHED_NAME_LENGTH = 64  # bytes
 
 
-def _known_name(name: bytes) -> str | None:
-    """Returns a header's name in lower case; None for a rare one, of which no copy is to be kept."""
-    known = _KNOWN_NAMES.get(name)
-    if known is None:
-        known = name.decode("ascii").lower()
-        if known in _OWN_NAMES:
-            return _OWN_NAMES[known]
-        if len(_KNOWN_NAMES) >= _MAX_KNOWN_NAMES or len(name) > _MAX_KNOWN_NAME_LENGTH:
-            return None
-        _KNOWN_NAMES[name] = known
-    return known
-
-
-class Headers:
-    """Where the header lines of a message lie in its buffer.
+def _lower_name(name: bytes) -> str:
+    lower = _LOWER_NAMES.get(name)
+    if lower is None:
+        lower = name.decode("ascii").lower()
+        if len(_LOWER_NAMES) < _MAX_CACHED_NAMES and len(name) <= _MAX_CACHED_NAME_LENGTH:
+            _LOWER_NAMES[name] = lower
+    return lower
 
-    There is one for each message that is being received, so it is compact: a few bytes for each line."""
 
-    __slots__ = ("names", "offsets")
-
-    def __init__(self) -> None:
-        """Starts without lines."""
-        self.names: list[str | None] = []  # in lower case; None: a rare name, which is only in the buffer
-        self.offsets = array("I")  # for each line: line start, value start, value end, line end
-
-    @property
-    def allocated(self) -> int:
-        """Bytes of memory that it occupies."""
-        return self.names.__sizeof__() + self.offsets.__sizeof__()
+# A header's name in lower case, and the offsets: line start, value start, value end, line end.
+HeaderSpan = tuple[str, int, int, int, int]
 
 
 class Message:
     """A complete request or answer."""
 
-    __slots__ = ("start", "body", "unambiguous", "delimited", "_view", "_headers", "_values")
+    __slots__ = ("start", "body", "unambiguous", "delimited", "_view", "_spans", "_values")
 
     def __init__(
-        self, start: tuple[str, str, str], view: memoryview, headers: Headers, body: memoryview
+        self, start: tuple[str, str, str], view: memoryview, spans: list[HeaderSpan], body: memoryview
     ) -> None:
-        """`start`: the three parts of the start line; `view`: the message's buffer; `headers`: the positions
-        of the header lines in `view`."""
-        self.start, self._view, self._headers, self.body = start, view, headers, body
+        """`start`: the three parts of the start line; `view`: the message's buffer; `spans`: the positions of
+        the headers in `view`."""
+        self.start, self._view, self._spans, self.body = start, view, spans, body
         self._values: dict[str, str] = {}
         self.unambiguous = True  # False: it may be a late answer to an earlier request of its connection
         self.delimited = True  # its length was given; without one, the end of the connection may truncate it
 
     def header(self, name: str) -> str | None:
         """Returns a header's value; `name` is in lower case.  Repeated headers are joined with commas."""
-        if not self._values:
-            values, offsets = self._values, self._headers.offsets
-            for index, key in enumerate(self._headers.names):
-                value = str(self._view[offsets[4 * index + 1] : offsets[4 * index + 2]], "latin-1")
-                if key is None:
-                    key = self._rare_name(index)
+        if not self._values and self._spans:
+            values = self._values
+            for key, _, begin, end, _ in self._spans:
+                value = str(self._view[begin:end], "latin-1")
                 values[key] = f"{values[key]}, {value}" if key in values else value
         return self._values.get(name)
 
-    def _rare_name(self, index: int) -> str:
-        """Returns the name in the header line with this index, in lower case."""
-        line_start, value_start = self._headers.offsets[4 * index : 4 * index + 2]
-        return str(self._view[line_start:value_start], "latin-1").partition(":")[0].lower()
-
     def copy_lines(self, excluded: frozenset[str]) -> bytes:
         """Returns the unchanged header lines except those of `excluded`, names in lower case."""
         runs, begin, end = [], -1, -1  # adjacent lines are copied as one run
-        offsets = self._headers.offsets
-        for index, key in enumerate(self._headers.names):
-            if (self._rare_name(index) if key is None else key) in excluded:
+        for key, line_start, _, _, line_end in self._spans:
+            if key in excluded:
                 continue
-            line_start, line_end = offsets[4 * index], offsets[4 * index + 3]
             if line_start != end:
                 if begin >= 0:
                     runs.append(self._view[begin:end])
@@ -161,12 +132,15 @@
         self._limits, self._max_body, self._parses_answers = limits, max_body, answers
         self.kept_body = max_body  # bytes of a body that its message holds; what exceeds them is dropped
         self._buffer = bytearray()
+        self._expects_continue = False  # the client of the message whose body is awaited
         self._reset()
 
     def _reset(self) -> None:
         self._scanned = 0
         self._start: tuple[str, str, str] | None = None
-        self._headers = Headers()
+        # Of the message whose head was read last.  While its body is awaited they are dropped, as the objects
+        # of many short headers take more memory than the head; they are read again then.
+        self._headers: list[HeaderSpan] = []
         self._body_start = 0
         self._length = 0  # of a body without a reader, in bytes
         self._body: BodyReader | None = None
@@ -182,8 +156,8 @@
 
     @property
     def allocated(self) -> int:
-        """Bytes of memory that the message being received occupies."""
-        return self._buffer.__alloc__() + self._headers.allocated
+        """Bytes of memory that the buffer occupies."""
+        return self._buffer.__alloc__()
 
     def clear(self) -> None:
         """Drops all buffered bytes and releases their memory."""
@@ -203,7 +177,7 @@
     @property
     def wants_continue(self) -> bool:
         """Whether a head was received whose client expects 100 Continue before it sends the body."""
-        return self._start is not None and "expect" in self._headers.names
+        return self._start is not None and self._expects_continue
 
     def next(self) -> Message | None:
         """Returns the next message, or None while it is incomplete; raises `MalformedError`."""
@@ -218,9 +192,13 @@
             if self._body.read():
                 return self._take_message(self._body.end)
             self._release_slack(self._body)
+            self._drop_headers()
             return None
         end = self._body_start + self._length
-        return self._take_message(end) if len(self._buffer) >= end else None
+        if len(self._buffer) >= end:
+            return self._take_message(end)
+        self._drop_headers()
+        return None
 
     def finish(self) -> Message | None:
         """Returns the answer without a length that the end of the connection completes, or None."""
@@ -230,12 +208,19 @@
         message.delimited = False
         return message
 
+    def _drop_headers(self) -> None:
+        if self._headers:
+            self._expects_continue = any(header[0] == "expect" for header in self._headers)
+            self._headers = []
+
     def _release_slack(self, body: BodyReader) -> None:
         """Moves the buffer to a smaller one where most of what it had grown for was dropped."""
         if self._buffer.__alloc__() - len(self._buffer) > MAX_SLACK:
             self._buffer = body.buffer = bytearray(self._buffer)
 
     def _take_message(self, end: int) -> Message:
+        if not self._headers:
+            self._read_headers_again()
         buffer = self._buffer
         self._buffer = buffer[end:]
         view = memoryview(buffer)
@@ -263,6 +248,12 @@
         self._read_framing()
         return True
 
+    def _read_headers_again(self) -> None:
+        position = self._buffer.find(b"\r\n") + 2
+        end = self._body_start - len(HEAD_END)
+        while position < end:
+            position = self._read_header_line(position)
+
     def _parse_start_line(self, line: bytes) -> tuple[str, str, str]:
         try:
             parts = line.decode("ascii").split(" ", 2 if self._parses_answers else -1)
@@ -299,10 +290,8 @@
         while value_end > value_start and buffer[value_end - 1] in b" \t":
             value_end -= 1
         line_end = line.end()
-        names = self._headers.names
-        names.append(_known_name(line[1]))
-        self._headers.offsets.extend((line_start, value_start, value_end, line_end))
-        if len(names) > self._limits.fields:
+        self._headers.append((_lower_name(line[1]), line_start, value_start, value_end, line_end))
+        if len(self._headers) > self._limits.fields:
             raise MalformedError(431, "the head holds too many headers")
         return line_end
 
@@ -310,11 +299,9 @@
         """Finds out from the headers where the body ends."""
         buffer = self._buffer
         lengths, encodings, hosts = [], [], 0
-        offsets = self._headers.offsets
-        for index, name in enumerate(self._headers.names):
+        for name, _, value_start, value_end, _ in self._headers:
             if name not in FRAMING_HEADERS:
                 continue
-            value_start, value_end = offsets[4 * index + 1], offsets[4 * index + 2]
             if name == "content-length":
                 lengths.append(bytes(buffer[value_start:value_end]))
             elif name == "transfer-encoding":
--- a/violetsaddle/net/http_order.py
+++ b/violetsaddle/net/http_order.py
@@ -14,22 +14,19 @@
 
     The copy outlives the connection's buffer, because a request may need several attempts."""
 
-    __slots__ = ("_head", "_body")
+    __slots__ = ("_head", "_body", "size")
 
     def __init__(self, message: http.Message) -> None:
         """Copies the forwarded header lines and the body of `message`."""
         # The header lines are copied in one step.  Content-Length is written anew.
         self._body = bytes(message.body)
+        body_size = len(self._body)
         self._head = (
             f"{message.start[0]} {message.start[1]} HTTP/1.1\r\n".encode("ascii")
             + message.copy_lines(NOT_FORWARDED)
-            + b"Content-Length: %d\r\n" % len(self._body)
+            + b"Content-Length: %d\r\n" % body_size
         )
-
-    @property
-    def size(self) -> int:
-        """Bytes of memory that the copy occupies."""
-        return len(self._head) + len(self._body)
+        self.size = len(self._head) + body_size  # bytes of memory that the copy occupies
 
     def message(self, host: str, wait: int) -> Sequence[bytes]:
         """As `requests.Order.message`; X-Remaining is at least 1 microsecond."""
--- a/violetsaddle/net/requests.py
+++ b/violetsaddle/net/requests.py
@@ -661,20 +661,21 @@
 
         While events wait for the decision module, the removal waits behind them.  Until the module knows of
         the request's end, it may make another attempt, and must be told what becomes of it."""
-        if request.client is not None or not all(attempt.ended for attempt in request.attempts):
+        if request.client is not None:
             return
-        number = request.number
+        for attempt in request.attempts:
+            if attempt.state is not AttemptState.ENDED:
+                return
         if self._dispatching:
-            self._events.append(lambda: self._remove(number))
+            self._events.append(lambda: self._remove(request))
         else:
-            self._remove(number)
+            self._remove(request)
 
-    def _remove(self, number: int) -> None:
-        request = self._table.get(number)
-        if request is None:
+    def _remove(self, request: Request) -> None:
+        if self._by_job.get(request.job) != request.number:
             return
         self._deadlines.drop(request.final_deadline)
-        self._table.free(number)
+        self._table.free(request.number)
         del self._by_job[request.job]
         self._finished_ids[request.job] = None
         while len(self._finished_ids) > self._limits.remembered:
--- a/violetsaddle/policy.py
+++ b/violetsaddle/policy.py
@@ -811,7 +811,7 @@
     def _forget(self, request: Request) -> None:
         """Removes a finished request; one of which nothing has left costs its tenant nothing."""
         del self.requests[request.id]
-        if request.bucket is not None and not any(attempt.has_left for attempt in request.attempts):
+        if request.bucket is not None and request.unsent == len(request.attempts):
             request.bucket.give_back(request.slots)
 
     def _check_attempt(self, now: int, about: tuple[str, int, int]) -> None:
@@ -960,7 +960,7 @@
             self._record_alive(now, worker)
             self._record_start(now, True, worker)
         elif outcome == api.MOOT:
-            attempt.has_left = False
+            request.unsent += 1
             attempt.cold_budget.tokens += request.cost
         elif outcome == api.CONNECT_FAILED or outcome == api.RESET:
             # Without gossip each scheduler would find the failure by requests of its own.
--- a/violetsaddle/state.py
+++ b/violetsaddle/state.py
@@ -132,7 +132,6 @@
         "in_flight",
         "late",
         "may_have_run",
-        "has_left",
         "cold_budget",
     )
 
@@ -141,7 +140,6 @@
         self.number, self.worker = number, worker
         self.cell, self.zone, self.sent, self.started = worker.cell, worker.zone, now, 0
         self.in_flight, self.may_have_run, self.late = True, True, False
-        self.has_left = True  # False: it ended before it was sent
         self.cold_budget = worker.cold_budget  # which paid for it; a worker that restarts gets another one
 
 
@@ -162,6 +160,7 @@
         "hint",
         "cost",
         "bucket",
+        "unsent",
     )
 
     def __init__(
@@ -181,9 +180,9 @@
         self.deadline, self.start_limit = deadline, int(start_share * spec.aim)
         self.attempts: list[Attempt] = []
         self.in_flight, self.finished, self.streaming = 0, False, False  # `in_flight` counts attempts
-        self.bucket: Any = (
-            None  # the tenant's `policy.TokenBucket` that paid for it; None: it was not paid for
-        )
+        self.unsent = 0  # attempts that ended before they were sent
+        # The `policy.TokenBucket` that paid for it; None: nothing was paid.
+        self.bucket: Any = None
 
     def tried(self, worker: Worker) -> bool:
         """Returns whether an earlier attempt went to this worker."""
