Ids of which nothing has left are remembered apart from those that ran

Shown by a test: 8,192 requests whose clients go at once pushed out the id of a job that had run, and the id was taken again.

Cause: one list of 4,096 ids for all requests that are over, which one client can fill in seconds with requests of which nothing leaves.

Change: two lists, of 4,096 each; ids taken from another process are limited at once too.

--- a/tests/test_gone.py
+++ b/tests/test_gone.py
@@ -8,10 +8,13 @@
 import time
 from typing import Any
 
+import pytest
+
 from tests.held import Held
 from tests.scenario import PATIENCE, SETTINGS, Line, Scenario
 from tests.wired import Net
 from violetsaddle.interface import KEYED, RequestClass, Settings
+from violetsaddle.net.requests import InvalidRequestError
 
 LINGER_RESET = struct.pack("ii", 1, 0)  # `struct linger`: closing sends a reset
 NO_CANCELS: dict[str, Any] = {
@@ -207,3 +210,26 @@
     assert net.wires[0].pending == b"", "the attempt was sent although its client had gone"
     assert net.counters.get("clients_gone") == 1
     assert not net.faults
+
+
+def test_ids_of_which_nothing_left_do_not_push_out_one_that_ran() -> None:
+    # A client with ever new ids made the node forget an id that had run; it was taken and ran again.
+    spec = RequestClass(aim=200_000, deadline=5_000_000)
+    net = Net(Settings(classes=(spec,), most_attempts=1, connect_timeout=300_000, may_cancel=True))
+    net.listed("snapshot", one=("active", 0, 1))
+    net.ask("ran", 0, 4_000_000)
+    net.wires[0].up()
+    net.wires[0].flush()
+    net.wires[0].answer("202")
+    net.leave("ran")
+    net.clock.advance(1)
+    for wire in net.live():
+        wire.flush()
+        wire.answer("204")
+    net.clock.advance(1)
+    assert len(net.requests) == 0
+    for number in range(2 * net.limits.remembered):
+        net.ask(f"new-{number}", 0, 4_000_000, gone=True)
+    with pytest.raises(InvalidRequestError):
+        net.ask("ran", 0, 4_000_000)
+    assert len(net.requests._unsent_ids) == net.limits.remembered
--- a/violetsaddle/net/http.py
+++ b/violetsaddle/net/http.py
@@ -60,11 +60,10 @@
 
 
 def _lower_name(name: bytes) -> str:
-    lower = _LOWER_NAMES.get(name)
-    if lower is None:
-        lower = name.decode("ascii").lower()
-        if len(_LOWER_NAMES) < _MAX_CACHED_NAMES and len(name) <= _MAX_CACHED_NAME_LENGTH:
-            _LOWER_NAMES[name] = lower
+    """Returns a name that is not cached in lower case, and caches it if there is room."""
+    lower = name.decode("ascii").lower()
+    if len(_LOWER_NAMES) < _MAX_CACHED_NAMES and len(name) <= _MAX_CACHED_NAME_LENGTH:
+        _LOWER_NAMES[name] = lower
     return lower
 
 
@@ -290,7 +289,9 @@
         while value_end > value_start and buffer[value_end - 1] in b" \t":
             value_end -= 1
         line_end = line.end()
-        self._headers.append((_lower_name(line[1]), line_start, value_start, value_end, line_end))
+        name = line[1]
+        lower_name = _LOWER_NAMES.get(name) or _lower_name(name)
+        self._headers.append((lower_name, line_start, value_start, value_end, line_end))
         if len(self._headers) > self._limits.fields:
             raise MalformedError(431, "the head holds too many headers")
         return line_end
--- a/violetsaddle/net/http_order.py
+++ b/violetsaddle/net/http_order.py
@@ -19,14 +19,14 @@
     def __init__(self, message: http.Message) -> None:
         """Copies the forwarded header lines and the body of `message`."""
         # The header lines are copied in one step.  Content-Length is written anew.
-        self._body = bytes(message.body)
-        body_size = len(self._body)
-        self._head = (
+        body = self._body = bytes(message.body)
+        body_size = len(body)
+        head = self._head = (
             f"{message.start[0]} {message.start[1]} HTTP/1.1\r\n".encode("ascii")
             + message.copy_lines(NOT_FORWARDED)
             + b"Content-Length: %d\r\n" % body_size
         )
-        self.size = len(self._head) + body_size  # bytes of memory that the copy occupies
+        self.size = len(head) + body_size  # bytes of memory that the copy occupies
 
     def message(self, host: str, wait: int) -> Sequence[bytes]:
         """As `requests.Order.message`; X-Remaining is at least 1 microsecond."""
--- a/violetsaddle/net/limits.py
+++ b/violetsaddle/net/limits.py
@@ -39,7 +39,7 @@
     answer_margin: int = 5 * MS  # the module's deadline comes so long before the client's
     probe: int = 250 * MS
     datagram: int = 256
-    remembered: int = 4096  # ids of requests that are over
+    remembered: int = 4096  # ids of requests that are over, and as many of which nothing has left
     give_up: int = 2 * SECOND  # for the answer to a DELETE
     delete_first: int = 500 * MS  # the same for the first, on a connection that may have fallen silent
     delete_tries: int = 3  # where nobody waits, an unconfirmed one goes out so often
--- a/violetsaddle/net/requests.py
+++ b/violetsaddle/net/requests.py
@@ -250,7 +250,10 @@
         self.shutting_down = False  # new requests must be answered by `shutdown_deadline`
         self.shutdown_deadline = 0  # microseconds
         self.peer_sender: PeerSender | None = None  # None: no peers, or none can be reached
-        self._finished_ids: OrderedDict[str, None] = OrderedDict()  # ids of ended requests, the latest last
+        # Ids of ended requests, the latest last: those that real servers may have run, and those of which
+        # nothing has left.  Apart, since a client can make very many of the latter.
+        self._finished_ids: OrderedDict[str, None] = OrderedDict()
+        self._unsent_ids: OrderedDict[str, None] = OrderedDict()
         self.when_idle: Callable[[], None] | None = None  # called when the last request has ended
         self.open_elsewhere: set[str] = set()  # ids that are open in another process of this node
         # Called with each id when its request is accepted (False) and when it has ended (True).
@@ -330,7 +333,12 @@
         if self._settings.classes[class_index].effect == api.KEYED and not repeat_key:
             raise InvalidRequestError("this class needs a key against repeats")
         # Ids of requests that have ended are rejected too: real servers may already have run the job.
-        if job in self._by_job or job in self._finished_ids or job in self.open_elsewhere:
+        if (
+            job in self._by_job
+            or job in self._finished_ids
+            or job in self._unsent_ids
+            or job in self.open_elsewhere
+        ):
             raise InvalidRequestError("the id is in use")
         now = self._deadlines.now()
         if self.shutting_down:
@@ -352,7 +360,7 @@
         self, number: int, cls: int, tenant: int, remaining: int, slots: float, key: int | None, hint: int
     ) -> None:
         request = self._table.get(number)
-        if request is None or request.client is None:
+        if request is None:
             return
         try:
             # A hint above the class's deadline is not plausible and would distort the module's averages.
@@ -475,13 +483,15 @@
 
     def known_ids(self) -> list[str]:
         """Ids that must not be accepted again, of ended and open requests, the latest last."""
-        return [*self._finished_ids, *self._by_job][-self._limits.remembered :]
+        return [*self._unsent_ids, *self._finished_ids, *self._by_job][-self._limits.remembered :]
 
     def remember_ids(self, ids: Sequence[str]) -> None:
         """Adds ids of requests that another process of the node accepted earlier, the latest last."""
         for job in ids[-self._limits.remembered :]:
             if len(job) <= self._limits.identity:
                 self._finished_ids[job] = None
+        while len(self._finished_ids) > self._limits.remembered:
+            self._finished_ids.popitem(last=False)
 
     def find_attempt(self, job: str, name: str) -> Attempt | None:
         """The open attempt of the request `job` at the real server `name`; None if there is none."""
@@ -656,32 +666,32 @@
             self._counters.add("answered_failed")
             client.failed(why)
 
-    def _remove_if_done(self, request: Request) -> None:
+    def _remove_if_done(self, request: Request, queued: bool = False) -> None:
         """Removes a request once its client has the answer or has gone, and all attempts have ended.
 
         While events wait for the decision module, the removal waits behind them.  Until the module knows of
-        the request's end, it may make another attempt, and must be told what becomes of it."""
-        if request.client is not None:
+        the request's end, it may make another attempt, and must be told what becomes of it.  `queued`: it
+        has waited."""
+        number, job = request.number, request.job
+        if request.client is not None or self._by_job.get(job) != number:
             return
+        ids = self._unsent_ids
         for attempt in request.attempts:
             if attempt.state is not AttemptState.ENDED:
                 return
-        if self._dispatching:
-            self._events.append(lambda: self._remove(request))
-        else:
-            self._remove(request)
-
-    def _remove(self, request: Request) -> None:
-        if self._by_job.get(request.job) != request.number:
+            if attempt.last_state is not AttemptState.UNSENT:
+                ids = self._finished_ids
+        if self._dispatching and not queued:
+            self._events.append(lambda: self._remove_if_done(request, True))
             return
         self._deadlines.drop(request.final_deadline)
-        self._table.free(request.number)
-        del self._by_job[request.job]
-        self._finished_ids[request.job] = None
-        while len(self._finished_ids) > self._limits.remembered:
-            self._finished_ids.popitem(last=False)
+        self._table.free(number)
+        del self._by_job[job]
+        ids[job] = None
+        if len(ids) > self._limits.remembered:
+            ids.popitem(last=False)
         if self.on_id_change is not None:
-            self.on_id_change(request.job, True)
+            self.on_id_change(job, True)
         if not len(self._table) and self.when_idle is not None:
             self.when_idle()
 
--- a/violetsaddle/policy.py
+++ b/violetsaddle/policy.py
@@ -123,7 +123,7 @@
         return True
 
     def give_back(self, amount: float) -> None:
-        """Returns slots that a request took but did not use."""
+        """Returns slots that a request took but did not use, up to the burst."""
         self.tokens = min(self.burst, self.tokens + amount)
 
     def wait(self, amount: float) -> int:
@@ -733,7 +733,7 @@
         self.largest_job = max(self.largest_job, slots)
         bucket.burst = max(MIN_BURST, self.largest_job)
         if bucket.take(now, slots):
-            request.bucket = bucket if bucket.rate is not None else None
+            request.bucket = bucket
         elif now < self.saturated_until:
             return self.act.refuse(job, self._retry_after(request, bucket.wait(slots)))
         self.requests[job] = request
--- a/violetsaddle/state.py
+++ b/violetsaddle/state.py
@@ -179,9 +179,9 @@
         self.spec = spec = settings.classes[cls]
         self.deadline, self.start_limit = deadline, int(start_share * spec.aim)
         self.attempts: list[Attempt] = []
-        self.in_flight, self.finished, self.streaming = 0, False, False  # `in_flight` counts attempts
-        self.unsent = 0  # attempts that ended before they were sent
-        # The `policy.TokenBucket` that paid for it; None: nothing was paid.
+        # `in_flight` and `unsent` count attempts: those under way, and those that ended before they were
+        # sent; `bucket` is the `policy.TokenBucket` that paid for the request, None: none did.
+        self.in_flight, self.unsent, self.finished, self.streaming = 0, 0, False, False
         self.bucket: Any = None
 
     def tried(self, worker: Worker) -> bool:
