A connection handles eight messages in a turn of the reactor

Cause: all messages of one read, up to 64 KiB, were handled in one go.

Change: after eight messages the rest waits for the next turn, and nothing more is read from that connection until then; its bytes keep the time at which they came.

Result: test_messages_of_one_read_are_answered_in_many_turns fails without the bound (2,000 answers in one go) and passes.

--- a/tests/test_held_out.py
+++ b/tests/test_held_out.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import contextlib
 import json
 import os
 import resource
@@ -13,6 +14,7 @@
 import tempfile
 import threading
 import time
+from collections.abc import Callable
 from typing import Any
 
 import pytest
@@ -183,7 +185,80 @@
 TRIES = 3  # connections for one request
 
 
+class FastClient(threading.Thread):
+    """Sends small messages on one connection as fast as they are taken, and reads every answer.
+
+    Where the node closes the connection it goes on with another one."""
+
+    def __init__(self, port: int, message: Callable[[int], bytes]) -> None:
+        super().__init__()
+        self.port, self.message = port, message
+        self.stopping, self.answered, self.number = False, 0, 0
+
+    def run(self) -> None:
+        while not self.stopping:
+            with socket.create_connection(("127.0.0.1", self.port)) as sock:
+                sock.setblocking(False)
+                with contextlib.suppress(ConnectionError):
+                    self.flood(sock)
+
+    def flood(self, sock: socket.socket) -> None:
+        unsent = b""
+        while not self.stopping:
+            if len(unsent) < 65_536:
+                unsent += b"".join(self.message(self.number + n) for n in range(500))
+                self.number += 500
+            readable, writable, _ = select.select([sock], [sock], [], 0.1)
+            if readable:
+                data = sock.recv(1 << 20)
+                if not data:
+                    return
+                self.answered += data.count(b"HTTP/1.1 ")
+            if writable:
+                unsent = unsent[sock.send(unsent) :]
+
+
+HEAD = b"POST /api HTTP/1.1\r\nHost: n\r\nX-Txn: t%d\r\nX-Lane: %s\r\nX-Org: acme\r\nX-Remaining: %du\r\n"
+SMALL_MESSAGES: dict[str, Callable[[int], bytes]] = {
+    "unknown paths": lambda n: b"GET /%d HTTP/1.1\r\nHost: n\r\n\r\n" % n,
+    "new header names": lambda n: b"GET /up HTTP/1.1\r\nHost: n\r\nN%d: 1\r\n\r\n" % n,
+    "unknown classes": lambda n: HEAD % (n, b"l%d" % n, 1000) + b"Content-Length: 0\r\n\r\n",
+    "no time": lambda n: HEAD % (n, b"quote", 0) + b"Content-Length: 0\r\n\r\n",
+    "requests that are over at once": lambda n: HEAD % (n, b"quote", 1000) + b"Content-Length: 0\r\n\r\n",
+    "bad callbacks": lambda n: b"POST /callback HTTP/1.1\r\nHost: n\r\nContent-Length: 2\r\n\r\n{}",
+}
+LATE_S = 0.1  # an answer that needs no real server may come so late beside one fast client
+
+
 class Floods(Scenario):
+    def test_a_fast_client_on_one_connection_delays_nobody(self) -> None:
+        # All messages of one read were handled in one go, so that others waited for them.
+        self.start(servers=1)
+        before = self.resident()
+        for name, message in SMALL_MESSAGES.items():
+            with self.subTest(name):
+                fast, waits = FastClient(self.port, message), []
+                fast.start()
+                for _ in range(60):
+                    begun = time.monotonic()
+                    with socket.create_connection(("127.0.0.1", self.port)) as sock:
+                        line = Line(sock)
+                        sock.sendall(self.message("GET /up"))
+                        line.message()
+                    waits.append(time.monotonic() - begun)
+                    time.sleep(0.02)
+                fast.stopping = True
+                fast.join()
+                self.assertGreater(fast.answered, 100)
+                self.assertLess(sorted(waits)[len(waits) * 9 // 10], LATE_S)
+        self.assertLess(self.resident() - before, 8 << 20)
+        self.play("node send USR1\nnode expect counters | edge_yields= | held_client_bytes=0 | !faults")
+
+    def resident(self) -> int:
+        """Bytes of memory that the node occupies."""
+        with open(f"/proc/{self.program.pid}/statm", encoding="ascii") as file:
+            return int(file.read().split()[1]) * resource.getpagesize()
+
     def others(self, stop: threading.Event, waits: list[float]) -> None:
         line = Line(socket.create_connection(("127.0.0.1", self.port)))
         while not stop.is_set():
--- a/tests/test_remaining.py
+++ b/tests/test_remaining.py
@@ -19,7 +19,7 @@
 from tests.scenario import address, listener
 from tests.wired import Net
 from violetsaddle.interface import ACTIVE, RequestClass, Settings
-from violetsaddle.net.edge import EdgeConnection, EdgeFactory, Shared
+from violetsaddle.net.edge import MAX_MESSAGES_PER_TURN, EdgeConnection, EdgeFactory, Shared
 from violetsaddle.net.limits import SECOND
 from violetsaddle.net.transports import LAST_DATA_RECEIVED_OFFSET
 
@@ -105,7 +105,7 @@
         self.unread_ms = unread_ms
         self.dataBuffer, self.offset, self._tempDataLen = b"", 0, 0
         self.written = b""
-        self.closed = False
+        self.closed, self.reading = False, True
 
     def getHandle(self) -> ClientTransport:
         return self
@@ -123,6 +123,12 @@
     def write(self, data: bytes) -> None:
         self.written += data
 
+    def pauseProducing(self) -> None:
+        self.reading = False
+
+    def resumeProducing(self) -> None:
+        self.reading = True
+
     def loseConnection(self) -> None:
         self.closed = True
 
@@ -205,3 +211,21 @@
     assert transport.written.startswith(b"HTTP/1.1 200 ")
     node.net.clock.advance(10)
     assert not transport.closed
+
+
+def test_messages_of_one_read_are_answered_in_many_turns() -> None:
+    # All messages of a read were answered in one go, and others waited for 0.4 s beside one client.
+    node, asked = Accepting(), b"GET /up HTTP/1.1\r\nHost: n\r\n\r\n"
+    flooding, transport = node.accept(0, asked * 2000)
+    answered = transport.written.count(b"HTTP/1.1 200 ")
+    assert 0 < answered <= MAX_MESSAGES_PER_TURN and not transport.reading
+    _, other = node.accept(0, asked)
+    assert other.written.startswith(b"HTTP/1.1 200 ")
+    for _ in range(1000):
+        node.net.clock.advance(0.0001)
+        now = transport.written.count(b"HTTP/1.1 200 ")
+        assert now - answered <= MAX_MESSAGES_PER_TURN
+        answered = now
+    assert answered == 2000 and transport.reading
+    assert node.factory.held.total == node.factory.pipelined.total == 0
+    assert flooding.idle and flooding._arrivals is None
--- a/violetsaddle/net/edge.py
+++ b/violetsaddle/net/edge.py
@@ -25,6 +25,7 @@
 from violetsaddle.net.slots import SlotTable
 from violetsaddle.net.transports import end_writing, peek, unread_for, unsent
 
+MAX_MESSAGES_PER_TURN = 8  # of one connection, in one turn of the reactor
 FOREVER = 1 << 62  # microseconds
 CALLBACK_PATH = "/callback"
 LAST_RESORT = 6  # eviction rank of real servers' connections
@@ -75,7 +76,9 @@
         self._order_size = 0  # bytes of the current request that are kept until it is answered
         self._discarded_bytes = 0
         self._last_unsent = -1  # bytes that the kernel had not taken at the last check
-        self._parsing = False
+        # Messages are being processed, or the rest of them waits for the next reactor turn (`_yielded`) and
+        # nothing more is read until then.
+        self._parsing = self._yielded = False
         self.sends_callbacks = False  # the other side is a real server
         self._no_message_yet = True  # no complete message has been parsed
         self._at_most_one_message = True  # at most the first message has been parsed
@@ -120,7 +123,7 @@
 
     def eviction_rank(self, now: int) -> tuple[int, int] | None:
         """Returns the sort key for eviction at the connection limit, lowest first; None: never evicted."""
-        if self._answer_pending or self._output_blocked or self._aborted:
+        if self._answer_pending or self._output_blocked or self._parsing or self._aborted:
             return None
         settled = now - self._wait_started >= self._shared.limits.edge_settled
         if self._evicted and not settled:
@@ -379,15 +382,19 @@
         except http.MalformedError as error:
             self._reject_malformed(error)
         except Exception as error:
-            self._shared.counters.fault("an edge connection failed", error)
-            if self._answer_pending:
-                self._shared.requests.closed_unanswered(self._request, type(error).__name__)
-            self._abort()
+            self._fail(error)
         finally:
-            self._parsing = False
+            self._parsing = self._yielded
             if self._parser.held or self._held.size:
                 self._update_held()
 
+    def _fail(self, error: Exception) -> None:
+        """Ends the connection after an exception that nobody expects."""
+        self._shared.counters.fault("an edge connection failed", error)
+        if self._answer_pending:
+            self._shared.requests.closed_unanswered(self._request, type(error).__name__)
+        self._abort()
+
     def _discard(self, size: int) -> None:
         """Limits the read rate once a client has sent more than could have been in transit as it left."""
         self._discarded_bytes += size
@@ -414,7 +421,8 @@
         self._closing = self._aborted = True
         self.transport.abortConnection()
 
-    def _process_messages(self, starts_message: bool) -> None:
+    def _process_messages(self, starts_message: bool, handled: int = 0) -> None:
+        """Processes the messages that have been read; `handled`: how many have been in this turn."""
         while not self._answer_pending and not self._closing:
             message = self._parser.next()
             if message is None:
@@ -438,8 +446,37 @@
             if more and self._arrivals is None:
                 self._record_arrival(more)
             self._route(message, waited)
-            if more and not self._closing and self._blocks_on_output():
-                return
+            if more and not self._closing:
+                handled += 1
+                if self._blocks_on_output():
+                    return
+                if handled >= MAX_MESSAGES_PER_TURN and not self._answer_pending:
+                    self._yield_turn()
+                    return
+
+    def _yield_turn(self) -> None:
+        """Lets other connections have their turn before the next messages of this one."""
+        self._yielded = True
+        self._shared.counters.add("edge_yields")
+        self.transport.pauseProducing()  # the kernel's buffer then slows the client down
+        if self._unread_since is None:
+            self._unread_since = self._shared.deadlines.now()
+        number, connections = self.number, self._shared.connections
+
+        def go_on() -> None:
+            connection = connections.get(number)
+            if connection is not None:
+                connection.go_on()
+
+        self._shared.deadlines.after(1, go_on)
+
+    def go_on(self) -> None:
+        """Goes on with the messages that waited for this turn."""
+        self._parsing = self._yielded = False
+        if not self._closing:
+            self._process_buffer(True)
+        if not self._yielded:
+            self.transport.resumeProducing()
 
     def _blocks_on_output(self) -> bool:
         """Whether the client has not read its earlier answers: its next message waits until it has."""
