A client's end is seen behind unread bytes before its request is sent on

Shown by a test: after the node has stood still for 0.15 s, the first request of a client that had sent 1,500 and closed is sent on.

Cause: whether a client had closed was asked by the next unread byte, which says nothing where other bytes lie before the end, and the end has not come where the client's own kernel still holds a part.

The kernel's state of the connection counts, not the next byte alone.

--- a/tests/test_gone.py
+++ b/tests/test_gone.py
@@ -143,6 +143,19 @@
         self.play("c send job last settle\ns expect POST /api | X-Txn: last")
         self.wait_for_counters("clients_gone=200", "attempts=1 ", "outcome_moot=200")
 
+    def test_a_close_behind_much_unread_data_is_seen_before_a_request_is_sent(self) -> None:
+        # The client's end lay behind bytes that the node had not read; only the first byte was looked at.
+        self.start(servers=1)
+        self.play("k send GET /up\nk expect 200")
+        self.pause_node()
+        for n in range(50):
+            with socket.create_connection(("127.0.0.1", self.port)) as sock:
+                sock.sendall(b"".join(self.message(f"job b{n}-{m} settle") for m in range(1500)))
+        time.sleep(0.15)  # longer than a request is sent without a check of its client
+        self.resume_node()
+        self.play("c send job last settle\ns expect POST /api | X-Txn: last")
+        self.wait_for_counters("clients_gone=50", "attempts=1 ", "outcome_moot=50")
+
     def test_a_close_before_the_retry_of_a_waiting_request(self) -> None:
         # Timers run before sockets are read, so another attempt was sent for a client that had closed.
         for reset in (False, True):
--- a/violetsaddle/net/edge.py
+++ b/violetsaddle/net/edge.py
@@ -4,6 +4,7 @@
 
 from collections.abc import Callable
 from dataclasses import dataclass, field
+from functools import partial
 from heapq import heapify, heappop
 
 from twisted.internet.interfaces import IAddress
@@ -23,7 +24,7 @@
 from violetsaddle.net.limits import MS, SECOND, Limits
 from violetsaddle.net.requests import Failure, InvalidRequestError, Requests
 from violetsaddle.net.slots import SlotTable
-from violetsaddle.net.transports import end_writing, peek, unread_for, unsent
+from violetsaddle.net.transports import end_writing, has_closed, peek, unread_for, unsent
 
 MAX_MESSAGES_PER_TURN = 8  # of one connection, in one turn of the reactor
 FOREVER = 1 << 62  # microseconds
@@ -115,11 +116,14 @@
 
     def is_gone(self) -> bool:
         """As `requests.Client.is_gone`."""
-        # The system call is made only where the client's FIN may have been unread for long.  The first
-        # request counts as such, because its connection may have waited in the accept backlog.
-        return (self._at_most_one_message or self._shared.behind() > self._shared.limits.unseen) and peek(
-            self.transport
-        ) == b""
+        # The system calls are made only where the client's FIN may have been unread for long: behind other
+        # bytes, or while the node was busy.  The first request counts as such, because its connection may
+        # have waited in the accept backlog.
+        return (
+            self._at_most_one_message
+            or self._arrivals is not None
+            or self._shared.behind() > self._shared.limits.unseen
+        ) and has_closed(self.transport)
 
     def eviction_rank(self, now: int) -> tuple[int, int] | None:
         """Returns the sort key for eviction at the connection limit, lowest first; None: never evicted."""
@@ -562,24 +566,62 @@
             self._answer_pending = True
             if self._order_size > limits.edge_uncounted and not self._may_hold_order():
                 return
-            self._stop_timeout()
-            number = self._shared.requests.arrive(
+            arrive = partial(
+                self._shared.requests.arrive,
                 job,
                 cls,
                 message.header("x-org"),
-                time,
-                bool(message.header("idempotency-key")),
-                slots,
-                hash_subject(query),
-                parse_estimate(message.header("x-estimate")),
-                order,
-                self,
+                repeat_key=bool(message.header("idempotency-key")),
+                slots=slots,
+                key=hash_subject(query),
+                hint=parse_estimate(message.header("x-estimate")),
+                order=order,
+                client=self,
             )
-            self._request = number
+            self._stop_timeout()
+            if (self._arrivals is not None or waited > limits.unseen) and self._has_unread():
+                self._arrive_once_read(arrive, self._shared.deadlines.now(), time)
+            else:
+                self._request = arrive(time)
         except InvalidRequestError as error:
-            self._answer_pending = False
-            self._update_held()
-            self._answer(400, str(error).encode())
+            self._refuse_invalid(error)
+
+    def _arrive_once_read(self, arrive: Callable[[int], int], since: int, time: int) -> None:
+        """Hands a request in once nothing lies unread behind it: its client may have left long ago.
+
+        Until then its connection is read as that of an open request.  `since`: when the wait began; `time`:
+        what remained to the client then, microseconds."""
+        number, connections = self.number, self._shared.connections
+
+        def look() -> None:
+            connection = connections.get(number)
+            if connection is not None:
+                connection.arrive_if_read(arrive, since, time)
+
+        self._shared.deadlines.after(1, look)
+
+    def arrive_if_read(self, arrive: Callable[[int], int], since: int, time: int) -> None:
+        """As `_arrive_once_read`, a reactor turn later."""
+        waited = self._shared.deadlines.now() - since
+        if waited < self._shared.limits.edge_settled and self._has_unread():
+            self._arrive_once_read(arrive, since, time)
+            return
+        self._parsing = True  # as in `_process_buffer`
+        try:
+            self._request = arrive(max(1, time - waited) if time > 0 else time)
+        except InvalidRequestError as error:
+            self._refuse_invalid(error)
+        except Exception as error:
+            self._fail(error)
+        finally:
+            self._parsing = False
+        if (self._parser.held or self._overflowed) and not self._answer_pending and not self._closing:
+            self._process_buffer(True)
+
+    def _refuse_invalid(self, error: InvalidRequestError) -> None:
+        self._answer_pending = False
+        self._update_held()
+        self._answer(400, str(error).encode())
 
     def _may_hold_order(self) -> bool:
         """Whether the current request may be held until it is answered; refuses it if not."""
--- a/violetsaddle/net/transports.py
+++ b/violetsaddle/net/transports.py
@@ -31,6 +31,9 @@
 CONNECTION_ENDED_ERRORS = frozenset(
     (errno.ECONNRESET, errno.EPIPE, errno.ENOTCONN, errno.ESHUTDOWN, errno.EBADF, errno.ENOTSOCK)
 )
+# `tcpi_state`, the first byte of `struct tcp_info`, once the other side's end or reset has come: TIME_WAIT,
+# CLOSE, CLOSE_WAIT, LAST_ACK and CLOSING.
+CLOSED_STATES = frozenset((6, 7, 8, 9, 11))
 MAX_FAILING_S = 3.0  # a connection whose calls fail for longer counts as ended
 LAST_DATA_RECEIVED_OFFSET = 52  # bytes into `struct tcp_info`, of tcpi_last_data_recv (32 bits, milliseconds)
 MAX_ACCEPTS = 16  # connections accepted in one reactor turn
@@ -59,6 +62,18 @@
         return b"" if error.errno in CONNECTION_ENDED_ERRORS else None
 
 
+def has_closed(transport: Any) -> bool:
+    """Whether the other side has ended the connection, also where unread bytes lie before its end."""
+    unread = peek(transport)
+    if not unread:
+        return unread is not None
+    try:
+        state = transport.getHandle().getsockopt(socket.IPPROTO_TCP, socket.TCP_INFO, 1)[0]
+    except OSError:
+        return False
+    return state in CLOSED_STATES
+
+
 def unread_for(transport: Any) -> int:
     """Microseconds since the kernel last received bytes, with a resolution of a few milliseconds; 0 where the
     kernel does not say."""
