Who comes long after accepting was paused is not closed as if it had waited

Found on reading the pause's change again, before a caller met it: at the limit with nobody in the backlog the wait was counted from the pause, and after a turn that accepted just as many as waited, from that turn. Whoever came later and found no room was closed unread at once instead of after 400 ms.

Change: the port is asked whether somebody waits, before who waits is closed and after a turn's last accept.

Result: the tests added fail without it and pass.

--- a/tests/test_remaining.py
+++ b/tests/test_remaining.py
@@ -5,6 +5,7 @@
 
 from __future__ import annotations
 
+import contextlib
 import re
 import signal
 import socket
@@ -12,8 +13,10 @@
 import threading
 import time
 from typing import Any
+from unittest.mock import Mock
 
 import pytest
+from twisted.internet.protocol import Factory
 
 from tests.held import Held
 from tests.scenario import address, listener
@@ -21,7 +24,7 @@
 from violetsaddle.interface import ACTIVE, RequestClass, Settings
 from violetsaddle.net.edge import MAX_MESSAGES_PER_TURN, EdgeConnection, EdgeFactory, Shared
 from violetsaddle.net.limits import SECOND
-from violetsaddle.net.transports import LAST_DATA_RECEIVED_OFFSET
+from violetsaddle.net.transports import LAST_DATA_RECEIVED_OFFSET, MAX_ACCEPTS, ListeningPort
 
 TOLERANCE_S = 0.15
 QUEUE_TIME_S = 0.6  # in the kernel buffer or behind another request
@@ -229,3 +232,55 @@
     assert answered == 2000 and transport.reading
     assert node.factory.held.total == node.factory.pipelined.total == 0
     assert flooding.idle and flooding._arrivals is None
+
+
+def test_a_pause_while_nobody_waits_closes_nobody() -> None:
+    # The wait was counted from the pause, so that the first to come long after it was closed at once.
+    node = Accepting()
+    gate, empty = node.factory.gate, True
+    gate.is_backlog_empty = lambda: empty
+    gate.pause()
+    node.net.clock.advance(1.0)
+    for _ in range(100):
+        node.net.clock.advance(0.02)
+    assert gate.paused and not gate.sheds
+    empty = False
+    for _ in range(15):
+        node.net.clock.advance(0.02)
+    assert gate.paused and not gate.sheds
+    for _ in range(10):
+        node.net.clock.advance(0.02)
+    assert gate.sheds
+
+
+class Counting(Factory):
+    """Closes each connection, and notes what the port reports of its backlog."""
+
+    noisy = False
+
+    def __init__(self) -> None:
+        self.reports: list[bool] = []
+
+    def buildProtocol(self, addr: object) -> None:
+        return None
+
+    def backlog_checked(self, empty: bool) -> None:
+        self.reports.append(empty)
+
+
+@pytest.mark.parametrize(
+    ("clients", "reports"), [(MAX_ACCEPTS, [True]), (MAX_ACCEPTS + 1, [False, True]), (0, [True])]
+)
+def test_a_backlog_that_one_turn_empties_counts_as_empty(clients: int, reports: list[bool]) -> None:
+    # After exactly as many as a turn accepts, the next connection counted as having waited since then.
+    factory, reactor = Counting(), Mock()
+    port = ListeningPort(0, factory, 50, "127.0.0.1", reactor)
+    port.startListening()
+    address = port.getHost()
+    with contextlib.ExitStack() as opened:
+        opened.callback(port.socket.close)
+        for _ in range(clients):
+            opened.enter_context(socket.create_connection((address.host, address.port)))
+        for _ in reports:
+            port.doRead()
+    assert factory.reports == reports
--- a/violetsaddle/net/accept_gate.py
+++ b/violetsaddle/net/accept_gate.py
@@ -32,6 +32,8 @@
         self._behind, self._make_room = behind, make_room
         # Stops (True) or resumes (False) reading of the listening port; set by the owner of the port.
         self.hold: Callable[[bool], None] = lambda held: None
+        # Whether nobody waits in the backlog; set by the owner of the port.
+        self.is_backlog_empty: Callable[[], bool] = lambda: False
         self.paused = False
         self.sheds = False  # a connection that finds no room is to be closed unread
         # The time, in microseconds, from which on connections may have waited in the backlog.  None: it was
@@ -88,6 +90,8 @@
         self._look = None
         if not self.paused or self._make_room():
             return  # once the connection has ended, accepting is resumed
+        if self.is_backlog_empty():
+            self._waiting_since = self._deadlines.now()
         if self.waited >= self._limits.edge_backlog_wait:
             self.sheds = True
             self.resume()
--- a/violetsaddle/net/node.py
+++ b/violetsaddle/net/node.py
@@ -229,7 +229,7 @@
         self._join(datagrams)
         port = self.reactor.adoptStreamPort(listener.fileno(), listener.family, self.edge)
         if paused:
-            self._port, self.edge.gate.hold = port, self._hold
+            self._attach(port)
             self.pause()
         else:
             self._listens(port)
@@ -266,9 +266,14 @@
                 peers.adopt(datagrams.fileno(), datagrams.family)
             self.requests.peer_sender = peers
 
+    def _attach(self, port: Any) -> None:
+        """From now on connections come from this listening port."""
+        self._port, gate = port, self.edge.gate
+        gate.hold = self._hold
+        gate.is_backlog_empty = getattr(port, "is_backlog_empty", gate.is_backlog_empty)
+
     def _listens(self, port: Any) -> None:
-        self._port = port
-        self.edge.gate.hold = self._hold
+        self._attach(port)
         at = port.getHost()
         self.counters.say(f"listening on {at.host}:{at.port}")
 
--- a/violetsaddle/net/transports.py
+++ b/violetsaddle/net/transports.py
@@ -8,6 +8,7 @@
 from __future__ import annotations
 
 import errno
+import select
 import socket
 import struct
 from collections.abc import Callable
@@ -243,7 +244,13 @@
                 super().doRead()  # logs the error; without descriptors it closes who waits
                 return False
             self._begin(accepted, address)
-        return False
+        return self.is_backlog_empty()
+
+    def is_backlog_empty(self) -> bool:
+        """Whether no connection waits to be accepted."""
+        poll = select.poll()
+        poll.register(self.socket, select.POLLIN)
+        return not poll.poll(0)
 
     def _report_backlog(self, empty: bool) -> None:
         report = getattr(self.factory, "backlog_checked", None)
