What a client that left had sent ahead is dropped quickly, so that its end is seen

Cause: after 16 MiB reading is slowed to 64 KiB in 50 ms. The end lay behind some 7 MB in the kernels for seconds.

Change: what is passed over then is dropped in the kernel (MSG_TRUNC, no copy): 2 MiB each 50 ms for all connections together, and before an attempt leaves as much as the kernels hold of one that has left. A request behind which bytes lie waits 0.1 s at most for them, 0.3 s before.

--- a/tests/test_gone.py
+++ b/tests/test_gone.py
@@ -156,6 +156,39 @@
         self.play("c send job last settle\ns expect POST /api | X-Txn: last")
         self.wait_for_counters("clients_gone=50", "attempts=1 ", "outcome_moot=50")
 
+    def flood_and_close(self, name: str) -> None:
+        """The client sends 30 MB ahead, or as much as is taken within 2 s, and closes."""
+        flood, started, left = self.line(name).sock, time.monotonic(), 30_000_000
+        flood.sendall(b"POST /api HTTP/1.1\r\nHost: n\r\nContent-Length: 60000000\r\n\r\n")
+        flood.setblocking(False)
+        while left > 0 and time.monotonic() - started < 2:
+            try:
+                left -= flood.send(b"x" * min(left, 262_144))
+            except BlockingIOError:
+                time.sleep(0.001)
+        flood.close()
+
+    def test_a_close_behind_slowed_reading_gives_the_job_up_soon(self) -> None:
+        # After 16 MiB reading was slowed to 64 KiB in 50 ms, and the end was seen seconds later.
+        self.start()
+        self.play("c send job a settle\ns expect X-Txn: a\ns send 202")
+        self.flood_and_close("c")
+        started = time.monotonic()
+        self.play("s expect DELETE /jobs/a\ns send 204")
+        self.assertLess(time.monotonic() - started, 1)
+
+    def test_no_second_attempt_after_a_close_behind_slowed_reading(self) -> None:
+        # The job was sent again 2.5 s after its client had gone.
+        self.start(servers=2)
+        self.play("c send job a quote\ns expect X-Txn: a")
+        self.flood_and_close("c")
+        time.sleep(0.1)
+        try:
+            self.play("s send 503 | X-Turned-Away: 1")
+        except AssertionError:
+            pass  # the node has closed it: the attempt is given up already
+        self.wait_for_counters("clients_gone=1", "attempts=1 ", "held_requests=0")
+
     def test_a_close_before_the_retry_of_a_waiting_request(self) -> None:
         # Timers run before sockets are read, so another attempt was sent for a client that had closed.
         for reset in (False, True):
--- a/violetsaddle/lab/sim/stream.py
+++ b/violetsaddle/lab/sim/stream.py
@@ -105,7 +105,11 @@
         self._stream = stream
 
     def recv(self, size: int, flags: int = 0) -> bytes:
-        """Peeks; raises `BlockingIOError` where nothing has come, `OSError` where a reset has."""
+        """Peeks; raises `BlockingIOError` where nothing has come, `OSError` where a reset has.
+
+        With MSG_TRUNC nothing is dropped: the protocol reads it later."""
+        if flags & kernel.MSG_TRUNC:
+            raise BlockingIOError(errno.EAGAIN, os.strerror(errno.EAGAIN))
         if not flags & kernel.MSG_PEEK:
             raise ValueError("what is read here would be lost to the protocol")
         stream = self._stream
--- a/violetsaddle/net/edge.py
+++ b/violetsaddle/net/edge.py
@@ -18,13 +18,13 @@
 from violetsaddle.net.callbacks import apply_callback, parse_callback
 from violetsaddle.net.counters import Counters
 from violetsaddle.net.deadlines import Deadlines, Patience, Transport
-from violetsaddle.net.held_bytes import ByteAccount, Share
+from violetsaddle.net.held_bytes import Allowance, ByteAccount, Share
 from violetsaddle.net.http_order import HttpOrder
 from violetsaddle.net.job_headers import ID, hash_subject, parse_estimate, parse_label, parse_remaining
 from violetsaddle.net.limits import MS, SECOND, Limits
 from violetsaddle.net.requests import Failure, InvalidRequestError, Requests
 from violetsaddle.net.slots import SlotTable
-from violetsaddle.net.transports import end_writing, has_closed, peek, unread_for, unsent
+from violetsaddle.net.transports import drop_unread, end_writing, has_closed, peek, unread_for, unsent
 
 MAX_MESSAGES_PER_TURN = 8  # of one connection, in one turn of the reactor
 FOREVER = 1 << 62  # microseconds
@@ -119,11 +119,15 @@
         # The system calls are made only where the client's FIN may have been unread for long: behind other
         # bytes, or while the node was busy.  The first request counts as such, because its connection may
         # have waited in the accept backlog.
-        return (
+        if not (
             self._at_most_one_message
             or self._arrivals is not None
             or self._shared.behind() > self._shared.limits.unseen
-        ) and has_closed(self.transport)
+        ):
+            return False
+        if self._overflowed:  # what comes is passed over, so that the end behind it can be looked for now
+            drop_unread(self.transport, self._shared.limits.edge_in_kernels)
+        return has_closed(self.transport)
 
     def eviction_rank(self, now: int) -> tuple[int, int] | None:
         """Returns the sort key for eviction at the connection limit, lowest first; None: never evicted."""
@@ -409,10 +413,20 @@
             def resume() -> None:
                 connection = connections.get(number)
                 if connection is not None:
-                    connection.transport.resumeProducing()
+                    connection.resume_discarding()
 
             self._shared.deadlines.after(self._shared.limits.edge_pause, resume)
 
+    def resume_discarding(self) -> None:
+        """Reads on after a pause; what lies unread is dropped, within what all connections may drop.
+
+        The client may have left long ago, and its end lie behind it."""
+        allowance = self._factory.droppable
+        left = allowance.left(self._shared.deadlines.now())
+        if left:
+            allowance.take(drop_unread(self.transport, left))
+        self.transport.resumeProducing()
+
     def _reject_malformed(self, error: http.MalformedError) -> None:
         self._shared.counters.add("bad_messages")
         if self._answer_pending:
@@ -603,7 +617,7 @@
     def arrive_if_read(self, arrive: Callable[[int], int], since: int, time: int) -> None:
         """As `_arrive_once_read`, a reactor turn later."""
         waited = self._shared.deadlines.now() - since
-        if waited < self._shared.limits.edge_settled and self._has_unread():
+        if waited < self._shared.limits.edge_unread_wait and self._has_unread():
             self._arrive_once_read(arrive, since, time)
             return
         self._parsing = True  # as in `_process_buffer`
@@ -703,6 +717,7 @@
         self.at_limit = False  # at the limit with no idle connection: the next answer closes its connection
         self.held = ByteAccount(shared.limits.edge_held_all)
         self.pipelined = ByteAccount(shared.limits.edge_ahead_all)
+        self.droppable = Allowance(shared.limits.edge_dropped, shared.limits.edge_pause)
         self.when_empty: Callable[[], None] | None = None  # called as the last connection has ended
         self.when_gone: Callable[[], None] | None = None  # called as each connection has ended
         # Set while two processes of this node serve.  Passes the body of a callback on a request that is not
--- a/violetsaddle/net/limits.py
+++ b/violetsaddle/net/limits.py
@@ -56,8 +56,11 @@
     unseen: int = 20 * MS  # a client's end may lie unread so long and an attempt still leave: 100 ms may pass
     edge_ahead: int = 256 * 1024  # what a client sends ahead of its answer is kept up to so much,
     edge_ahead_all: int = 8 * 1024 * 1024  # and what all clients do; the rest is passed over,
-    edge_passed: int = 16 * 1024 * 1024  # read at once up to so much: no kernel holds more of one that left,
-    edge_pause: int = 50 * MS  # and then in one read for each such time
+    edge_passed: int = 16 * 1024 * 1024  # read at once up to so much,
+    edge_pause: int = 50 * MS  # and then in one read for each such time,
+    edge_dropped: int = 2 * 1024 * 1024  # in which the kernel drops so much more for all connections
+    edge_in_kernels: int = 10 * 1024 * 1024  # lie unread of a client that left: 6 MiB here, 4 MiB there
+    edge_unread_wait: int = 100 * MS  # a request waits so long until nothing lies unread behind it
     edge_unsent: int = 16 * 1024  # while more of earlier answers is unsent, a connection's next message waits
     # Buffers, bodies of open requests and unsent answers of all client connections.
     edge_held_all: int = DEFAULT_MEMORY // 3
--- a/violetsaddle/net/transports.py
+++ b/violetsaddle/net/transports.py
@@ -37,6 +37,7 @@
 CLOSED_STATES = frozenset((6, 7, 8, 9, 11))
 MAX_FAILING_S = 3.0  # a connection whose calls fail for longer counts as ended
 LAST_DATA_RECEIVED_OFFSET = 52  # bytes into `struct tcp_info`, of tcpi_last_data_recv (32 bits, milliseconds)
+DROP_SIZE = 256 * 1024  # bytes dropped by one call
 MAX_ACCEPTS = 16  # connections accepted in one reactor turn
 RETRY_DELAY_S = 0.005  # until a failed call is repeated
 
@@ -75,6 +76,21 @@
     return state in CLOSED_STATES
 
 
+def drop_unread(transport: Any, most: int) -> int:
+    """Drops about `most` unread bytes of a TCP connection at most, and returns how many.
+
+    The kernel copies none of them, so that this costs far less than to read them."""
+    handle, dropped = transport.getHandle(), 0
+    try:
+        while dropped < most and (
+            size := len(handle.recv(DROP_SIZE, socket.MSG_TRUNC | socket.MSG_DONTWAIT))
+        ):
+            dropped += size
+    except OSError:
+        pass  # nothing is left, or the next read of the transport meets what ended the connection
+    return dropped
+
+
 def unread_for(transport: Any) -> int:
     """Microseconds since the kernel last received bytes, with a resolution of a few milliseconds; 0 where the
     kernel does not say."""
