--- a/violetsaddle/net/edge.py
+++ b/violetsaddle/net/edge.py
@@ -126,7 +126,7 @@
         ):
             return False
         if self._overflowed:  # what comes is passed over, so that the end behind it can be looked for now
-            drop_unread(self.transport, self._shared.limits.edge_in_kernels)
+            self._drop_unread(self._factory.droppable_before_sending)
         return has_closed(self.transport)
 
     def eviction_rank(self, now: int) -> tuple[int, int] | None:
@@ -421,11 +421,14 @@
         """Reads on after a pause; what lies unread is dropped, within what all connections may drop.
 
         The client may have left long ago, and its end lie behind it."""
-        allowance = self._factory.droppable
+        self._drop_unread(self._factory.droppable)
+        self.transport.resumeProducing()
+
+    def _drop_unread(self, allowance: Allowance) -> None:
+        """Drops what lies unread in the kernel, within what all connections may drop."""
         left = allowance.left(self._shared.deadlines.now())
         if left:
             allowance.take(drop_unread(self.transport, left))
-        self.transport.resumeProducing()
 
     def _reject_malformed(self, error: http.MalformedError) -> None:
         self._shared.counters.add("bad_messages")
@@ -718,6 +721,7 @@
         self.held = ByteAccount(shared.limits.edge_held_all)
         self.pipelined = ByteAccount(shared.limits.edge_ahead_all)
         self.droppable = Allowance(shared.limits.edge_dropped, shared.limits.edge_pause)
+        self.droppable_before_sending = Allowance(shared.limits.edge_in_kernels, shared.limits.edge_pause)
         self.when_empty: Callable[[], None] | None = None  # called as the last connection has ended
         self.when_gone: Callable[[], None] | None = None  # called as each connection has ended
         # Set while two processes of this node serve.  Passes the body of a callback on a request that is not
