Server lists are read and applied in a module of their own

`net/discovery.py` polled discovery, read its lists and applied them. They move to `net/server_list.py` as they were: `ServerListReader.read` gives a typed `ListUpdate` and `apply` hands it to the real servers and the decision module. `Discovery.take` keeps its order: read, version, observers, apply.

No change of behaviour.

--- a/tests/test_recovery.py
+++ b/tests/test_recovery.py
@@ -27,7 +27,7 @@
 from violetsaddle.lab.records import Answer, BoxLife, NodeLife
 from violetsaddle.lab.sim.stage import SimStage
 from violetsaddle.lab.stage import Options, Outcome
-from violetsaddle.net.discovery import address
+from violetsaddle.net.server_list import address
 from violetsaddle.world import scenario
 from violetsaddle.world.day import MS, SECOND, Trouble
 
--- a/violetsaddle/__main__.py
+++ b/violetsaddle/__main__.py
@@ -31,11 +31,11 @@
 
 from violetsaddle import settings
 from violetsaddle.interface import SettingsError
-from violetsaddle.net.discovery import BadListError, address
 from violetsaddle.net.early import SUCCESSOR
 from violetsaddle.net.limits import DEFAULT_MEMORY, MIB, Limits
 from violetsaddle.net.node import Config, ConfigError, Configurer, Keeper, Node, Upgrades, run, unchanged
 from violetsaddle.net.outlet import LogStream
+from violetsaddle.net.server_list import BadListError, address
 
 if TYPE_CHECKING:
     from violetsaddle.log import Log
--- a/violetsaddle/cli/check.py
+++ b/violetsaddle/cli/check.py
@@ -30,8 +30,8 @@
     from violetsaddle import interface as api
     from violetsaddle.__main__ import read
     from violetsaddle.interface import SettingsError
-    from violetsaddle.net.discovery import BadListError
     from violetsaddle.net.node import ConfigError, Node
+    from violetsaddle.net.server_list import BadListError
 
     try:
         with _alone(path):
--- a/violetsaddle/net/discovery.py
+++ b/violetsaddle/net/discovery.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import json
-import math
 from collections.abc import Callable, Sequence
 from typing import Any
 
@@ -17,30 +16,17 @@
 from violetsaddle.net.deadlines import Clock, Deadlines, Reactor
 from violetsaddle.net.limits import MS, Limits
 from violetsaddle.net.requests import Requests
+from violetsaddle.net.server_list import BadListError, ServerListReader
 from violetsaddle.net.servers import Servers
-from violetsaddle.net.wall_clock import WallClock
 
 MAX_LATE_CALLS = 2  # that have timed out and are still open; each may hold a whole list
 MAX_TIMEOUT_DOUBLINGS = 2  # after calls that timed out the response timeout grows: 1.1 s, 2.2 s, 4.4 s
-STATES = {"up": api.ACTIVE, "draining": api.DRAINING, "removed": api.GONE}
 
 
 class CallTimedOutError(Exception):
     """A call was not answered in time.  It stays open for a while, as its answer may still arrive."""
 
 
-class BadListError(Exception):
-    """The server list is not valid; the message names the fault."""
-
-
-def address(text: object, min_port: int = 1) -> tuple[str, int]:
-    """Parses `host:port`; raises `BadListError` if it is malformed or the port is below `min_port`."""
-    host, _, port = text.rpartition(":") if isinstance(text, str) else ("", "", "")
-    if not host or not (host + port).isascii() or not port.isdigit() or not min_port <= int(port) < 65536:
-        raise BadListError(f"addr is no address: {text!r}")
-    return host, int(port)
-
-
 class _Call:
     """A call to discovery."""
 
@@ -85,13 +71,8 @@
         self._deadlines = deadlines
         self._counters = counters
         self._requests = requests
-        self._servers = servers
         self._host, self._port = at
-        self._zones = {name: index for index, name in enumerate(zones)}
-        self._kinds = {name: index for index, name in enumerate(kinds)}
-        self._wall_clock = WallClock(clock)  # discovery sends Unix times, the module uses the monotonic clock
-        # By server name: start as discovery sent it (Unix time, ms), and on the monotonic clock (µs).
-        self._start_times: dict[str, tuple[int, int]] = {}
+        self._reader = ServerListReader(requests, servers, zones, kinds, clock)
         self._version: int | None = None  # of the current list; None: no list yet
         self._connection: ServerConnection | None = None
         self._watching = False
@@ -103,7 +84,6 @@
         # Calls that timed out and may still be answered, the earliest first.  Each keeps its place in the
         # queue of a slow discovery, while another call is made in case this one was lost.
         self._late_calls: list[_Call] = []
-        self._entries: dict[str, api.Entry] = {}  # of the current list, by server name
         self._last_success = deadlines.now()  # when the current list was last confirmed
         # Called with each list that is applied and the `host:port` that it came from.
         self.observers: list[Callable[[Any, str], object]] = []
@@ -114,101 +94,13 @@
         `kind`: event kind for the decision module; None: a snapshot or a diff, as the message says.
         Raises `BadListError` if the message is not valid.  Then only its drained and removed servers are
         applied."""
-        try:
-            version, full, items = int(message["version"]), bool(message["full"]), list(message["servers"])
-            entries, removed = [], []
-            draining: set[str] = set()
-            addresses: dict[str, tuple[str, int]] = {}
-            for item in items:
-                entry, name = self._entry(item), item["id"]
-                entries.append(entry)
-                if entry.state == api.GONE:
-                    removed.append(name)
-                    addresses.pop(name, None)  # if a name occurs twice, the last entry counts
-                else:
-                    addresses[name] = address(item.get("addr"))
-                    (draining.add if entry.state == api.DRAINING else draining.discard)(name)
-        except (BadListError, KeyError, TypeError, ValueError, OverflowError, AttributeError) as error:
-            self._servers.prune()
-            self._apply_drains_and_removals(message)
-            if isinstance(error, BadListError):
-                raise
-            raise BadListError(f"{type(error).__name__}: {error}") from None
-        self._version = version
+        update = self._reader.read(message)
+        self._version = update.version
         if kind is None:
             self._counters.most("list_age_most_ms", (self._deadlines.now() - self._last_success) // MS)
         for observer in self.observers:
             observer(message, f"{self._host}:{self._port}")
-        self._servers.update_addresses(addresses, removed, full, draining)
-        self._entries = {} if full else self._entries
-        for item, entry in zip(items, entries):
-            self._entries[item["id"]] = entry
-        for name in removed:
-            self._entries.pop(name, None)
-        self._start_times = {
-            name: start for name, start in self._start_times.items() if name in self._entries
-        }
-        self._requests.listed(kind or (api.SNAPSHOT if full else api.DIFF), entries)
-
-    def _apply_drains_and_removals(self, message: Any) -> None:
-        """Applies only the drained and removed servers of a list that is not valid as a whole.
-
-        One malformed entry must not keep the node sending requests to a server that drains."""
-        try:
-            states = {item["id"]: item.get("state") for item in message["servers"]}
-            missing = self._entries.keys() - states if message["full"] else set[str]()
-        except (KeyError, TypeError, AttributeError):
-            return
-        changes: dict[str, str] = {name: api.GONE for name in missing}
-        for name, state in states.items():
-            if name in self._entries and state in ("draining", "removed"):
-                changes[name] = STATES[state]
-        changes = {name: state for name, state in changes.items() if self._entries[name].state != state}
-        if not changes:
-            return
-        entries = [self._entries[name]._replace(state=state) for name, state in changes.items()]
-        removed = [name for name, state in changes.items() if state == api.GONE]
-        self._servers.drain(changes.keys() - removed)
-        self._servers.update_addresses({}, removed, False)
-        for name, entry in zip(changes, entries):
-            self._entries[name] = entry
-        for name in removed:
-            del self._entries[name]
-        self._requests.listed(api.DIFF, entries)
-
-    def _entry(self, item: dict[str, Any]) -> api.Entry:
-        name, state = item["id"], STATES[item.get("state", "up")]
-        if not isinstance(name, str) or not name:
-            raise BadListError("the id of an entry is not a name")
-        started, weight = int(item.get("started_ms") or 0), float(item.get("weight", 1.0))
-        if not (math.isfinite(weight) and weight >= 0.0):
-            raise BadListError(f"invalid weight: {weight}")
-        return api.Entry(
-            worker=self._servers.number_of(name),
-            zone=self._index(self._zones, item.get("zone", 0)),
-            cell=int(item.get("cell") or 0),
-            kind=self._index(self._kinds, item.get("kind", 0)),
-            weight=weight,
-            state=state,
-            started=self._start_time(name, started) if started else 0,
-        )
-
-    def _start_time(self, name: str, unix_ms: int) -> int:
-        """Start time of a server on the monotonic clock, in µs.
-
-        The result is kept for as long as `unix_ms` is the same, so that a step of the wall clock does not
-        look like a restart of the server."""
-        known = self._start_times.get(name)
-        if known is None or known[0] != unix_ms:
-            known = self._start_times[name] = unix_ms, self._wall_clock.to_monotonic(unix_ms * MS) or 1
-        return known[1]
-
-    @staticmethod
-    def _index(names: dict[str, int], name: object) -> int:
-        index = names.get(name) if isinstance(name, str) else name
-        if not isinstance(index, int) or not 0 <= index < max(1, len(names)):
-            raise BadListError(f"unknown zone or kind: {name!r}")
-        return index
+        self._reader.apply(update, kind)
 
     def watch(self) -> None:
         """Starts to poll for the list and its changes, unless it already polls or was stopped."""
--- a/violetsaddle/net/warmth.py
+++ b/violetsaddle/net/warmth.py
@@ -10,11 +10,11 @@
 from violetsaddle import interface as api
 from violetsaddle.decide import memory, warmth
 from violetsaddle.decide.memory import Adopted, LearnedState
-from violetsaddle.net.discovery import BadListError
 from violetsaddle.net.disk import BackgroundRunner, Disk, File, in_thread
 from violetsaddle.net.limits import MS, SECOND
 from violetsaddle.net.node import Node
 from violetsaddle.net.peers import Peers
+from violetsaddle.net.server_list import BadListError
 from violetsaddle.operator import Restart
 from violetsaddle.store import snapshots
 from violetsaddle.store.files import DamagedError
