--- a/violetsaddle/net/node.py
+++ b/violetsaddle/net/node.py
@@ -17,7 +17,7 @@
 from violetsaddle.net.deadlines import Clock, Deadlines, Reactor, SystemClock
 from violetsaddle.net.discovery import Discovery
 from violetsaddle.net.edge import FOREVER, EdgeFactory, Shared
-from violetsaddle.net.limits import DEFAULT_MEMORY, Limits
+from violetsaddle.net.limits import DEFAULT_MEMORY, MS, Limits
 from violetsaddle.net.peers import Peers
 from violetsaddle.net.requests import Decider, Requests
 from violetsaddle.net.servers import Servers
@@ -347,8 +347,10 @@
             else:
                 self._port.startReading()
 
-    def reload(self) -> None:
-        """The configuration was replaced: discovery may be elsewhere.  All else needs a new start."""
+    def reload(self, came: int | None = None) -> None:
+        """The configuration was replaced: discovery may be elsewhere.  All else needs a new start.
+
+        `came`: when SIGHUP did, microseconds on the node's clock; None: it is not known."""
         try:
             config = self._reread()
         except Exception as error:  # guards against a file that nobody foresaw: the old one holds
@@ -358,7 +360,8 @@
             return
         self.counters.add("reloads")
         self.moved = True
-        self.counters.say("discovery is at {}:{}".format(*config.discovery))
+        waited = "" if came is None else f"; SIGHUP came {(self.deadlines.now() - came) // MS} ms ago"
+        self.counters.say("discovery is at {}:{}".format(*config.discovery) + waited)
         self.discovery.move(config.discovery)
 
     def stop(self) -> None:
@@ -470,11 +473,11 @@
     for number, what in (
         (signal.SIGTERM, stop),
         (signal.SIGINT, stop),
-        (signal.SIGHUP, node.reload),
         (signal.SIGUSR1, node.counters.show),
         *([] if life is None else [(signal.SIGUSR2, life.asked)]),
     ):
         signal.signal(number, lambda *_, what=what: running.callFromThread(what))
+    signal.signal(signal.SIGHUP, lambda *_: running.callFromThread(node.reload, node.deadlines.now()))
     try:
         (life or node).start(listener)
     except CannotListenError as error:
