A connection to discovery that takes long is late instead of given up

What callers saw: after a new configuration a draining server gets jobs far beyond its grace, to the end of the play, where connections to discovery take longer than the settings' `dialTimeout` (200 ms, meant for servers).

Cause: `Discovery` gave the dial the servers' time. It is one of the ways in which "what is slow is treated as what is lost": a dial of 201 ms counted as a failure, and the next began from nothing.

Change: the dial is a part of its call. After `dialTimeout` the call is late like one that was not answered: it goes on beside the next one, two at most, and is sent once its connection is up.

--- a/tests/discovery_orders.py
+++ b/tests/discovery_orders.py
@@ -45,6 +45,7 @@
     shortest_wait: int = 0
     in_turn: bool = False  # one call at a time; what waits longer than `LONGEST_WAIT` is refused
     longest_dial: int = 0
+    shortest_dial: int = 0
     bad_for: int = 0  # calls that come so soon after SIGHUP are badly treated
     bad: Sequence[str] = ()
     parts: bool = False  # answers come in pieces, without a length, in chunks
@@ -56,6 +57,10 @@
     asks: bool = True
     latency: int = 200  # one way
 
+    @property
+    def dials(self) -> tuple[int, int]:
+        return self.shortest_dial, self.longest_dial
+
 
 @dataclass
 class Change:
@@ -225,7 +230,7 @@
         if not self.listens:
             link.refuse(play.weather.latency)
             return
-        wait = play.weather.latency + play.random.randrange(play.weather.longest_dial + 1)
+        wait = play.weather.latency + play.random.randint(*play.weather.dials)
         how = self._treatment()
         if how == "dial refused":
             link.refuse(wait)
--- a/violetsaddle/net/discovery.py
+++ b/violetsaddle/net/discovery.py
@@ -123,10 +123,13 @@
         if connection is not None and connection.open:
             self._send(connection, call)
             return
+        # The settings' time is meant for servers.  A connection to discovery that takes longer is late, as an
+        # answer may be: it goes on beside the next one.
+        call.timer = self._deadlines.after(self._limits.dial, lambda: self._on_timeout(call))
         call.dialling = dial(
             self._reactor,
             self._deadlines,
-            self._limits.dial,
+            self._limits.dial + self._limits.late_answer,
             *call.at,
             lambda: ServerConnection(self._limits, lambda _: None, self._limits.list_body),
         )
@@ -135,12 +138,17 @@
         ).addErrback(self._on_unexpected, call)
 
     def _send(self, connection: ServerConnection, call: Call) -> None:
+        """Sends a call once its connection is up."""
         call.step(CallEvent.CONNECTED)
         call.dialling, call.connection, call.sent = None, connection, self._deadlines.now()
         call.base = self._version
         target, timeout = self._target()
         self._counters.add("watch_calls")
-        call.timer = self._deadlines.after(timeout, lambda: self._on_timeout(call))
+        self._deadlines.drop(call.timer)
+        if call.is_late:
+            self._await_late_answer(call, timeout)
+        else:
+            call.timer = self._deadlines.after(timeout, lambda: self._on_timeout(call))
         call.exchange = connection.exchange(
             [http.request("GET", target, "{}:{}".format(*call.at))], kept_body=self._limits.list_body
         )
@@ -168,16 +176,22 @@
 
         The first timeout only shows that the watch stopped working.  Each one that follows a failed call
         makes the timeout of the next call longer."""
-        self._timeouts += self._last_call_failed
+        if call.sent:
+            self._timeouts += self._last_call_failed
         if sum(other.is_late for other in self._calls) >= MAX_LATE_CALLS:
             self._end(call, CallEnd.TIMED_OUT)
         else:
             call.step(CallEvent.TIMED_OUT)
             call.late = self._deadlines.now()
-            call.timer = self._deadlines.after(self._limits.late_answer, lambda: self._on_late_timeout(call))
+            self._await_late_answer(call)
         self._note_broken()
         self._call_failed()
 
+    def _await_late_answer(self, call: Call, longer: int = 0) -> None:
+        """`longer`: microseconds beyond the time for a late answer, for a call that was only just sent."""
+        wait = self._limits.late_answer + longer
+        call.timer = self._deadlines.after(wait, lambda: self._on_late_timeout(call))
+
     def _on_late_timeout(self, call: Call) -> None:
         self._end(call, CallEnd.TIMED_OUT)
 
