Calls to discovery are not given up while they may be answered; each list counts

What callers saw: a server that begins to drain gets jobs after its grace, up to 2.9 s late, where discovery is slow and more than one call is out, or where a drain is told as a new configuration comes.

Cause: what discovery has written to the node counts as told, on whichever call. But the node gave calls up that were about to be answered: every other one as soon as one was answered ("their answers bring nothing newer", which is untrue where an earlier call is answered first), all of them at SIGHUP, and the third that was late. What lay on those connections was lost, and the next call, to a slow discovery, came after the grace. An answer to a late call was refused as well if another list had been taken since, though it was newer.

Change: a late call stays open until it is answered, its connection ends or its time is up; at the limit of two the one goes that will hardly be answered any more (3.5 s after it was sent, 1.5 s after its dial began), and until then no further one is made. An answer is taken if its list is not older than the one in force; changes since an earlier version hold all changes since a later one. Calls to the address of before a move stay open for 2 s or until the new address has answered, and count until then. If discovery counts its versions anew, late calls of before end. Three calls to the present address at most, as before; three more to the old one for 2 s after a move.

--- a/tests/test_discovery_orders.py
+++ b/tests/test_discovery_orders.py
@@ -6,7 +6,7 @@
 
 import pytest
 
-from tests.discovery_orders import Play, Weather
+from tests.discovery_orders import BAD, Play, Weather
 from tests.reactor_turns import MS, SECOND
 
 SEEDS = 40  # of each kind of trouble
@@ -36,3 +36,45 @@
             shared=False,
         )
     )
+
+
+@pytest.mark.parametrize("shared", [True, False])
+@pytest.mark.parametrize("grace", [500, 2000])
+@pytest.mark.parametrize(("shortest", "longest"), [(0, 1000), (500, 2950), (2000, 2950)])
+def test_lists_written_on_calls_that_the_node_has_made_another_one_beside(
+    shortest: int, longest: int, grace: int, shared: bool
+) -> None:
+    # The first answer, or SIGHUP, ended all other calls; discovery had written on one of them by then.
+    keeps_the_terms(
+        Weather(
+            shortest_wait=shortest * MS, longest_wait=longest * MS, grace=grace * MS, shared=shared, asks=True
+        )
+    )
+
+
+@pytest.mark.parametrize("longest", [500, 1400])
+def test_discovery_that_handles_calls_in_turn(longest: int) -> None:
+    # A call that was given up still cost the next one its time.
+    keeps_the_terms(Weather(shortest_wait=longest * MS // 2, longest_wait=longest * MS, in_turn=True))
+
+
+@pytest.mark.parametrize("bad", [*((how,) for how in BAD), BAD])
+def test_calls_after_a_move_that_are_refused_cut_malformed_or_lost(bad: tuple[str, ...]) -> None:
+    # Guards the waits between calls: failed ones must not put off the one that discovery answers.
+    keeps_the_terms(Weather(longest_wait=SECOND, bad_for=3 * SECOND, bad=bad, shared=False), SEEDS // 2)
+
+
+def test_answers_in_parts_in_chunks_and_without_a_length() -> None:
+    # Parts of an answer lay on both sides of its time.
+    keeps_the_terms(Weather(longest_wait=2500 * MS, parts=True))
+
+
+@pytest.mark.parametrize("moves", [2, 4])
+def test_new_configurations_in_a_row(moves: int) -> None:
+    # Each ended the calls to the address before, though its list counted until the new one had answered.
+    keeps_the_terms(Weather(longest_wait=2 * SECOND, moves=moves))
+
+
+def test_pushed_lists() -> None:
+    # Where lists are pushed the same calls are made, with shorter pauses.
+    keeps_the_terms(Weather(longest_wait=2 * SECOND, asks=False))
--- a/violetsaddle/net/discovery.py
+++ b/violetsaddle/net/discovery.py
@@ -21,6 +21,7 @@
 from violetsaddle.net.servers import Servers
 
 MAX_LATE_CALLS = 2  # that have timed out and are still open; each may hold a whole list
+MAX_OLD_CALLS = 3  # to an address of before a move that stay open
 MAX_TIMEOUT_DOUBLINGS = 2  # after calls that timed out the response timeout grows: 1.1 s, 2.2 s, 4.4 s
 MAX_LOGGED_CALLS = 12  # lines of the log about the calls after a move
 
@@ -30,6 +31,8 @@
 
     At most one call is awaited at a time.  One that is not answered in time becomes late: it stays open for
     a while, as it keeps its place in the queue of a slow discovery, and the module has another one made.
+    What discovery has written to the node counts as told, on whichever call: so a call is not given up while
+    it may be answered, and each list is taken that is not older than the one in force.
     Implements `requests.DiscoveryPoller`."""
 
     def __init__(
@@ -55,7 +58,8 @@
         self._at = at
         self._epoch = 0  # counts the addresses that discovery has had
         self._reader = ServerListReader(requests, servers, zones, kinds, clock)
-        self._version: int | None = None  # of the list in force; None: none of this address yet
+        self._version: int | None = None  # of the list in force; None: there is none yet
+        self._list_epoch = 0  # of the address that this list came from
         self._connection: ServerConnection | None = None  # idle
         self._calls: list[Call] = []  # that are open, the earliest first
         self._awaited: Call | None = None  # the one of these that is not late
@@ -78,14 +82,22 @@
         `kind`: event kind for the decision module; None: a snapshot or a diff, as the message says.
         Raises `BadListError` if the message is not valid.  Then only its drained and removed servers are
         applied."""
+        self._take(message, kind, self._at, self._epoch)
+
+    def _take(self, message: Any, kind: str | None, at: tuple[str, int], epoch: int) -> None:
         update = self._reader.read(message)
-        self._version = update.version
+        self._version, self._list_epoch = update.version, epoch
         if kind is None:
             self._counters.most("list_age_most_ms", (self._deadlines.now() - self._last_success) // MS)
         for observer in self.observers:
-            observer(message, "{}:{}".format(*self._at))
+            observer(message, "{}:{}".format(*at))
         self._reader.apply(update, kind)
 
+    @property
+    def _base(self) -> int | None:
+        """The version that the next call builds on; None: no list of this address is in force yet."""
+        return self._version if self._list_epoch == self._epoch else None
+
     # What the node and the module ask for.
 
     def watch(self) -> None:
@@ -99,16 +111,33 @@
         if at == self._at:
             return
         self._at, self._epoch = at, self._epoch + 1
-        self._version, self._timeouts = None, 0
+        self._timeouts = 0
         self._moved_at, self._lines_left = self._deadlines.now(), MAX_LOGGED_CALLS
-        self._end_calls(CallEnd.MOVED)
+        self._drop_pause()
+        self._leave_to_old_address()
         self._close_connection()
         self.watch()
 
+    def _leave_to_old_address(self) -> None:
+        """The old address may have told changes that are on their way: its calls may still be answered until
+        the new one has, or for a while."""
+        if self._awaited is not None and self._awaited.sent:
+            self._make_late(self._awaited)
+        self._awaited = None
+        for call in [call for call in self._calls if not call.sent]:
+            self._end(call, CallEnd.MOVED)
+        for call in self._calls[:-MAX_OLD_CALLS]:
+            self._end(call, CallEnd.MOVED)
+        for call in self._calls:
+            self._deadlines.drop(call.timer)
+            self._await_late_answer(call, self._limits.moved_wait)
+
     def stop(self) -> None:
         """Closes the connections and sends no further calls."""
         self._stopped = True
-        self._end_calls(CallEnd.STOPPED)
+        self._drop_pause()
+        for call in list(self._calls):
+            self._end(call, CallEnd.STOPPED)
         self._close_connection()
 
     # Calls.
@@ -139,14 +168,19 @@
 
     def _send(self, connection: ServerConnection, call: Call) -> None:
         """Sends a call once its connection is up."""
+        call.dialling, call.connection = None, connection
+        if call.is_late and self._last_success > call.began:
+            self._end(call, CallEnd.SUPERSEDED)  # discovery knows of no call yet
+            connection.transport.abortConnection()
+            return
         call.step(CallEvent.CONNECTED)
-        call.dialling, call.connection, call.sent = None, connection, self._deadlines.now()
-        call.base = self._version
+        call.sent = self._deadlines.now()
+        call.base = self._base
         target, timeout = self._target()
         self._counters.add("watch_calls")
         self._deadlines.drop(call.timer)
         if call.is_late:
-            self._await_late_answer(call, timeout)
+            self._await_late_answer(call, timeout + self._limits.late_answer)
         else:
             call.timer = self._deadlines.after(timeout, lambda: self._on_timeout(call))
         call.exchange = connection.exchange(
@@ -162,34 +196,54 @@
         # many nodes would keep it overloaded.
         response_timeout = self._limits.ask << min(self._timeouts, MAX_TIMEOUT_DOUBLINGS)
         # Version 0 is a valid version: without `after`, each call would return the full list at once.
-        if self._version is None:
+        if self._base is None:
             return "/discovery/hosts", response_timeout
         # After a failure the wait is short: missed changes may be due soon, and discovery may stop answering
         # again.  But a node that has a list never requests the full one: its size costs discovery more than
         # the call, and forty nodes that request it keep discovery overloaded.
         wait = self._limits.doubt_wait if self._last_call_failed else self._limits.watch_wait
         grace = response_timeout if self._last_call_failed else self._limits.watch_grace
-        return f"/discovery/hosts?after={self._version}&wait_ms={wait // MS}", wait + grace
+        return f"/discovery/hosts?after={self._base}&wait_ms={wait // MS}", wait + grace
 
     def _on_timeout(self, call: Call) -> None:
         """Ends the wait for an answer; it is still taken if it comes soon after.
 
         The first timeout only shows that the watch stopped working.  Each one that follows a failed call
         makes the timeout of the next call longer."""
+        room_in = self._until_room()
+        if room_in:
+            call.timer = self._deadlines.after(room_in, lambda: self._on_timeout(call))
+            return
         if call.sent:
             self._timeouts += self._last_call_failed
-        if sum(other.is_late for other in self._calls) >= MAX_LATE_CALLS:
-            self._end(call, CallEnd.TIMED_OUT)
-        else:
-            call.step(CallEvent.TIMED_OUT)
-            call.late = self._deadlines.now()
-            self._await_late_answer(call)
+        self._make_late(call)
         self._note_broken()
         self._call_failed()
 
-    def _await_late_answer(self, call: Call, longer: int = 0) -> None:
-        """`longer`: microseconds beyond the time for a late answer, for a call that was only just sent."""
-        wait = self._limits.late_answer + longer
+    def _make_late(self, call: Call) -> None:
+        call.step(CallEvent.TIMED_OUT)
+        call.late = self._deadlines.now()
+        self._deadlines.drop(call.timer)
+        self._await_late_answer(call, self._limits.late_answer)
+
+    def _until_room(self) -> int:
+        """Makes room for one more late call, by the end of one that will hardly be answered any more.
+
+        Returns 0, or for how many microseconds there is none: each late call may still be answered."""
+        late = [call for call in self._calls if call.is_late and call.epoch == self._epoch]
+        if len(late) < MAX_LATE_CALLS:
+            return 0
+        first = min(late, key=self._given_up_at)
+        wait = self._given_up_at(first) - self._deadlines.now()
+        if wait <= 0:
+            self._end(first, CallEnd.DISPLACED)
+        return max(0, wait)
+
+    def _given_up_at(self, call: Call) -> int:
+        """From when on a late call may be given up for a newer one."""
+        return call.sent + self._limits.call_wait if call.sent else call.began + self._limits.dial_wait
+
+    def _await_late_answer(self, call: Call, wait: int) -> None:
         call.timer = self._deadlines.after(wait, lambda: self._on_late_timeout(call))
 
     def _on_late_timeout(self, call: Call) -> None:
@@ -197,16 +251,13 @@
 
     def _on_answer(self, answer: http.Message, call: Call) -> None:
         self._deadlines.drop(call.timer)
+        self._calls.remove(call)  # timers that come due as its list is applied must not count it
         connection = call.connection
         assert connection is not None
         if answer.status != 200:
             self._on_refused(answer.status, call)
-        elif call.is_late and call.base != self._version:
-            self._counters.add("watch_late_unused")
-            self._end(call, CallEnd.OUTDATED)
         elif self._take_answer(answer, call):
-            self._connection = connection if connection.open else None
-            self._go_on(call)
+            self._go_on(call, connection)
             return
         connection.transport.loseConnection()
 
@@ -222,9 +273,14 @@
 
     def _take_answer(self, answer: http.Message, call: Call) -> bool:
         """Whether the list in an answer was taken; ends the call."""
-        previous, late = self._version, call.is_late
+        late, before = call.is_late, (self._list_epoch, self._version)
         try:
-            self.take(json.loads(bytes(answer.body)))
+            message = json.loads(bytes(answer.body))
+            if late and not self._is_news(message, call):
+                self._counters.add("watch_late_unused")
+                self._end(call, CallEnd.OUTDATED)
+                return False
+            self._take(message, None, call.at, call.epoch)
         except (BadListError, ValueError, RecursionError) as error:
             self._counters.add("watch_bad")
             self._counters.say(f"discovery gave a bad list: {error}"[:300])
@@ -234,14 +290,44 @@
             return False
         if late:
             self._counters.add("watch_late")
-        self._end(call, CallEnd.UNCHANGED if previous == self._version else CallEnd.TAKEN)
-        self._last_call_failed, self._timeouts, self._last_success = False, 0, self._deadlines.now()
-        self._lines_left = 0
+        unchanged = before == (self._list_epoch, self._version)
+        self._end(call, CallEnd.UNCHANGED if unchanged else CallEnd.TAKEN)
+        if call.epoch == self._epoch:
+            self._note_success(before)
         return True
 
-    def _go_on(self, answered: Call) -> None:
-        """Makes the next call after one that brought a list."""
-        self._end_calls(CallEnd.SUPERSEDED)  # their answers bring nothing newer
+    def _is_news(self, message: Any, call: Call) -> bool:
+        """Whether the list in the answer to a late call is not older than the one in force."""
+        if call.epoch != self._list_epoch:
+            return call.epoch > self._list_epoch
+        if call.base == self._version or not isinstance(message, dict):
+            return True  # no other list was taken since; what is no list is refused as it is read
+        # Changes since an earlier version than the one in force hold all changes since that one, too.
+        version = message.get("version")
+        return self._version is None or not isinstance(version, int) or version >= self._version
+
+    def _note_success(self, before: tuple[int, int | None]) -> None:
+        """A list of discovery's present address is in force; `before`: epoch and version of the last one."""
+        self._last_call_failed, self._timeouts, self._last_success = False, 0, self._deadlines.now()
+        self._lines_left = 0
+        epoch, version = before
+        restarted = version is not None and self._version is not None and self._version < version
+        for call in list(self._calls):
+            if call.epoch != self._epoch:
+                self._end(call, CallEnd.MOVED)
+            elif epoch == self._epoch and restarted and call.is_late:
+                self._end(call, CallEnd.SUPERSEDED)  # discovery counts its versions anew
+
+    def _go_on(self, answered: Call, connection: ServerConnection) -> None:
+        """Makes the next call after one that brought a list, on the same connection."""
+        if answered.epoch != self._epoch:
+            connection.transport.loseConnection()
+            self.watch()  # the module takes it for watched
+            return
+        self._connection = connection if connection.open else None
+        if self._awaited is not None:
+            self._make_late(self._awaited)  # this connection is known to work
+            self._awaited = None
         if answered.end is CallEnd.UNCHANGED and not answered.late:
             # Avoids a busy loop if discovery answers at once without changes.
             self._pause = self._deadlines.after(self._limits.watch_pause, self._end_pause)
@@ -313,19 +399,17 @@
         call.step(CallEvent.ENDED)
         call.end, call.detail, call.ended = end, detail, self._deadlines.now()
         self._deadlines.drop(call.timer)
-        self._calls.remove(call)
+        if call in self._calls:
+            self._calls.remove(call)
         if self._awaited is call:
             self._awaited = None
         call.close()
         call.connection = None
         self._log_call(call)
 
-    def _end_calls(self, end: CallEnd) -> None:
-        """Gives up all open calls, and ends a pause between two."""
+    def _drop_pause(self) -> None:
         self._deadlines.drop(self._pause)
         self._pause = None
-        for call in list(self._calls):
-            self._end(call, end)
 
     def _close_connection(self) -> None:
         if self._connection is not None:
--- a/violetsaddle/net/limits.py
+++ b/violetsaddle/net/limits.py
@@ -71,6 +71,9 @@
     watch_pause: int = 50 * MS  # between calls that bring nothing new; 200 ms would end the watch
     ask: int = 1100 * MS  # for an answer at once; discovery lets a call wait for its turn for 1 s
     late_answer: int = 5 * SECOND  # after that, what discovery has counts as told; a late answer is of no use
+    call_wait: int = 3500 * MS  # discovery lets a call wait for its turn so long; later it is hardly answered
+    dial_wait: int = 1500 * MS  # connections come up for so long
+    moved_wait: int = 2 * SECOND  # the old address of discovery closes its connections 1.5 s after a move
     doubt_wait: int = SECOND  # discovery may hold a watch so long after a failed call
     watch_grace: int = 500 * MS  # and answers so much later at the latest
     silence: int = 0  # without word from discovery for so long its list may be doubted; 0: never
