What discovery has told is read before a job leaves, also after the node stood still

What callers saw: a node that stands still for longer than the grace of a drain sends jobs to the draining server as it goes on: up to 3.3 s after its list was written to the node.

Cause: the list lies unread in the kernel, while timers run before sockets are read, and of the sockets the one that was ready first comes first. So a job whose connection came up, or that was due by a timer, left by the old list. In the same way a call whose answer had come in time was called late, or given up for good.

Change: just before an attempt's first byte, if sockets may have been unread for over 20 ms (the time for which a client's end is looked for there, too), what has arrived on open calls to discovery is read and taken. It is read as well before a call becomes late or is given up.

Evidence: the real program, stopped from before a connection comes up until 0.7 s after a list that drains its server (`During.test_a_list_that_came_as_the_process_stood_still_...`): the job went to that server before, and goes to the other one now.

--- a/tests/discovery_orders.py
+++ b/tests/discovery_orders.py
@@ -373,6 +373,7 @@
             self,
         )
         self.requests.discovery = self.discovery
+        self.servers.read_lists = self.discovery.read_arrived
         self.discovery.take(self.service.listing(None), api.DISK)
         if not weather.asks:
             self.discovery.watch()
--- a/tests/held.py
+++ b/tests/held.py
@@ -80,14 +80,21 @@
 
     def dialling(self, name: str) -> None:
         """Waits until a connection to this real server is being made."""
+        self._in_state(name, "02", "no connection is being made")  # SYN sent
+
+    def connected(self, name: str) -> None:
+        """Waits until the kernel has a connection to this real server."""
+        self._in_state(name, "01", "no connection is up")
+
+    def _in_state(self, name: str, state: str, fault: str) -> None:
         port, until = self.servers[name].getsockname()[1], time.monotonic() + PATIENCE
         while time.monotonic() < until:
             with open(f"/proc/{self.program.pid}/net/tcp") as file:
                 rows = [line.split() for line in file]
-            if any(row[2].endswith(f":{port:04X}") and row[3] == "02" for row in rows):  # SYN sent
+            if any(row[2].endswith(f":{port:04X}") and row[3] == state for row in rows):
                 return
             select.select([], [], [], 0.01)
-        raise AssertionError("no connection is being made")
+        raise AssertionError(fault)
 
     def crowd_dials(self, name: str) -> Callable[[], None]:
         """From now on connections to this real server hang; what is returned lets them come up."""
--- a/tests/reactor_turns.py
+++ b/tests/reactor_turns.py
@@ -170,6 +170,9 @@
     def getHandle(self) -> Link:
         return self
 
+    def doRead(self) -> None:
+        self.handle()
+
     def recv(self, size: int, flags: int) -> bytes:
         """Only ever a look."""
         if not self._ready:
@@ -290,16 +293,12 @@
         ready = [socket for socket in self.readable if socket.has_event]
         self.readable.clear()
         self._random.shuffle(ready)
-        for socket in self.prioritised(ready):
+        for socket in ready:
             if socket.has_event:
                 socket.handle()
                 self._flush()
                 self._stand_still()
 
-    def prioritised(self, ready: list[Any]) -> list[Any]:
-        """The order in which the reactor handles the sockets that are ready."""
-        return ready
-
     def _run_timers(self) -> None:
         now, due = self.network.now, []
         while (at := self._next_timer()) is not None and at <= now:
--- a/tests/test_discovery_orders.py
+++ b/tests/test_discovery_orders.py
@@ -78,3 +78,27 @@
 def test_pushed_lists() -> None:
     # Where lists are pushed the same calls are made, with shorter pauses.
     keeps_the_terms(Weather(longest_wait=2 * SECOND, asks=False))
+
+
+@pytest.mark.parametrize("stalls", [1, 3])
+@pytest.mark.parametrize("longest_wait", [300, 1500])
+def test_a_process_that_stands_still_at_any_step(stalls: int, longest_wait: int) -> None:
+    # Jobs left, and calls were given up, before the list that had come meanwhile was read.
+    keeps_the_terms(Weather(longest_wait=longest_wait * MS, stalls=stalls, longest_stall=2 * SECOND))
+
+
+def test_everything_at_once() -> None:
+    # Guards the combinations of the orders above.
+    keeps_the_terms(
+        Weather(
+            longest_wait=2500 * MS,
+            longest_dial=400 * MS,
+            bad_for=2 * SECOND,
+            bad=BAD,
+            parts=True,
+            stalls=2,
+            longest_stall=SECOND,
+            moves=2,
+        ),
+        3 * SEEDS,
+    )
--- a/tests/test_told.py
+++ b/tests/test_told.py
@@ -247,3 +247,20 @@
         free()
         self.play("s expect POST /api | X-Txn: a\ns send 202\ns call+ a done result=x\nc expect 200 | x")
         self.assertEqual(self.heard[-1].name, "s-2")
+
+    def test_a_list_that_came_as_the_process_stood_still_is_read_before_a_job_is_sent(self) -> None:
+        # A connection came up, then a list drained its server: after the pause the job was sent first.
+        permissions = {**SETTINGS["permissions"], "dialTimeout": 5_000_000}
+        self.start({**ASK, "permissions": permissions, "safety": {"drainGrace": 500_000}}, servers=1)
+        free = self.crowd_dials("s-1")
+        self.servers["s-2"] = other = listener()
+        self.where["s-2"] = address(other)
+        self.play("d expect after=1\nc send job a settle")
+        self.dialling("s-1")
+        self.play("node send STOP")
+        free()
+        self.connected("s-1")
+        self.play("d send list 2 s-1=draining s-2=up")
+        time.sleep(0.7)
+        self.play("node send CONT\ns expect POST /api | X-Txn: a")
+        self.assertEqual(self.heard[-1].name, "s-2")
--- a/violetsaddle/net/connections.py
+++ b/violetsaddle/net/connections.py
@@ -14,7 +14,9 @@
 from violetsaddle.net import http
 from violetsaddle.net.deadlines import Deadlines, Patience, Reactor, Transport, nothing
 from violetsaddle.net.limits import Limits
-from violetsaddle.net.transports import errno_name, loss_reason, unsent
+from violetsaddle.net.transports import errno_name, loss_reason, peek, unsent
+
+MAX_READS_AT_ONCE = 128  # of 64 KiB each, outside of the reactor's turns
 
 
 class NotConnectedError(Exception):
@@ -154,6 +156,25 @@
             self.parse_error = error.text
             self.transport.abortConnection()
 
+    def read_arrived(self) -> None:
+        """Reads what has arrived and lies unread, without waiting for the reactor's turn."""
+        for _ in range(MAX_READS_AT_ONCE):
+            unread = peek(self.transport) if self.open else None
+            if unread is None:
+                return
+            if not unread:
+                self._finish_answer()  # the reactor meets the end again, and closes the connection
+                return
+            if self.transport.doRead() is not None:
+                return
+
+    def _finish_answer(self) -> None:
+        """The other side has ended the connection: that completes an answer without a length."""
+        answer = self._parser.finish()
+        if answer is not None:
+            self.open = False
+            self._deliver_answer(answer)
+
     def _deliver_answer(self, message: http.Message) -> None:
         answer, self._answer = self._answer, None
         if answer is not None:
@@ -176,9 +197,7 @@
         """Twisted: the connection has ended. An exchange in progress fails with `BrokenError`, unless the end
         of the connection completes its answer."""
         self.open = False
-        answer = self._parser.finish()
-        if answer is not None:
-            self._deliver_answer(answer)
+        self._finish_answer()
         self._fail_exchange(loss_reason(reason, self.transport))
         self._on_closed(self)
 
--- a/violetsaddle/net/discovery.py
+++ b/violetsaddle/net/discovery.py
@@ -105,6 +105,13 @@
         if self._awaited is None and self._pause is None and not self._stopped:
             self._begin_call()
 
+    def read_arrived(self) -> None:
+        """Takes the lists that have arrived and lie unread, as they do where the node was held up.
+
+        Called before an attempt is sent: what has arrived counts as told."""
+        for call in list(self._calls):
+            call.read_arrived()
+
     def move(self, at: tuple[str, int]) -> None:
         """Switches to discovery at another address and requests the full list there, because its versions
         may differ."""
@@ -210,6 +217,9 @@
 
         The first timeout only shows that the watch stopped working.  Each one that follows a failed call
         makes the timeout of the next call longer."""
+        self.read_arrived()  # timers run before sockets are read: the answer may have come in time
+        if call is not self._awaited:
+            return
         room_in = self._until_room()
         if room_in:
             call.timer = self._deadlines.after(room_in, lambda: self._on_timeout(call))
@@ -247,6 +257,7 @@
         call.timer = self._deadlines.after(wait, lambda: self._on_late_timeout(call))
 
     def _on_late_timeout(self, call: Call) -> None:
+        call.read_arrived()
         self._end(call, CallEnd.TIMED_OUT)
 
     def _on_answer(self, answer: http.Message, call: Call) -> None:
--- a/violetsaddle/net/discovery_call.py
+++ b/violetsaddle/net/discovery_call.py
@@ -115,6 +115,11 @@
         """Whether its time has passed and it may still be answered."""
         return self.state in (CallState.DIALLING_LATE, CallState.SENT_LATE)
 
+    def read_arrived(self) -> None:
+        """Reads what has arrived on its connection and lies unread."""
+        if self.connection is not None:
+            self.connection.read_arrived()
+
     def close(self) -> None:
         """Gives up the dial, or closes the connection at once; an answer does not arrive any more."""
         dialling, self.dialling = self.dialling, None
--- a/violetsaddle/net/node.py
+++ b/violetsaddle/net/node.py
@@ -162,6 +162,7 @@
             clock,
         )
         self.requests.attempt_sender, self.requests.discovery = self.servers, self.discovery
+        self.servers.read_lists = self.discovery.read_arrived
         if self.limits.silence:
             from violetsaddle.decide.recovery import Recovery
 
--- a/violetsaddle/net/servers.py
+++ b/violetsaddle/net/servers.py
@@ -17,7 +17,7 @@
 from violetsaddle.net import http
 from violetsaddle.net.connections import BrokenError, NotConnectedError, RealServer, ServerConnection, dial
 from violetsaddle.net.counters import Counters
-from violetsaddle.net.deadlines import Deadline, Deadlines, Patience, Reactor
+from violetsaddle.net.deadlines import Deadline, Deadlines, Patience, Reactor, nothing
 from violetsaddle.net.limits import SPARE_DESCRIPTORS, Limits
 from violetsaddle.net.release import Releases
 from violetsaddle.net.requests import Attempt, Order, Requests
@@ -58,6 +58,8 @@
         self._connections: SlotTable[ServerConnection] = SlotTable()
         self._dialling = 0
         self._reuse_suspended_until, self._read_lag = 0, read_lag
+        # Takes the lists that have arrived and are not read yet; see `Discovery.read_arrived`.
+        self.read_lists: Callable[[], object] = nothing
         self._releases: Releases[RealServer] = Releases(self, limits, deadlines, counters, requests)
         self._probe_path = "/metrics/load" if settings.report_by_probe else "/alive"
 
@@ -376,6 +378,8 @@
 
         While the connection was being opened, the server may have been removed or the client may have
         disconnected; then this raises `WithheldError`."""
+        if self._read_lag() > self._limits.unseen:
+            self.read_lists()  # the node was held up, and a list that drains this server may have arrived
         now = self._deadlines.now()
         if (
             not server.listed
