A call that was answered ends the others again, once what has come on them is read

Cause: late calls were kept open after a list had been taken. What they were kept for is that discovery may have told something newer on them; but of that only what has come already can be lost by an order of the node's own steps.

Two answers in one turn leave the newer list, whichever is read first; the next call goes out on the connection that works. The waiting of a new call for room, the calls to the old address and the comparison of versions stay.

--- a/tests/discovery_orders.py
+++ b/tests/discovery_orders.py
@@ -34,6 +34,7 @@
 LONGEST_WAIT = 3 * SECOND  # that discovery lets a call wait for its turn
 JOB_TIME = 30 * MS
 SERVERS = 4
+FOREVER = 1 << 60
 BAD = ("refused", "cut", "cut in the middle", "malformed", "lost", "hangs up", "dial refused", "dial lost")
 
 
@@ -56,6 +57,8 @@
     grace: int = 500 * MS
     asks: bool = True
     latency: int = 200  # one way
+    nodes: int = 1  # of the tier, whose waits between calls grow with it
+    bad_before: bool = False  # calls to the first address are badly treated
 
     @property
     def dials(self) -> tuple[int, int]:
@@ -335,6 +338,7 @@
         self.stood_still: list[tuple[int, int]] = []
         self.service = DiscoveryService(self)
         self.addresses = [DiscoveryAddress(self)]
+        self.addresses[0].bad_until = FOREVER if weather.bad_before else 0
         self._listen(0)
         for n in range(SERVERS):
             self.reactor.listeners["box", int(f"{n}1")] = Server(self, f"s-{n}")
@@ -347,7 +351,11 @@
         weather, reactor = self.weather, self.reactor
         quote = api.RequestClass(aim=200 * MS, deadline=5 * SECOND)
         told = api.Settings(
-            classes=(quote,), must_ask=weather.asks, drain_grace=weather.grace, connect_timeout=200 * MS
+            classes=(quote,),
+            must_ask=weather.asks,
+            drain_grace=weather.grace,
+            connect_timeout=200 * MS,
+            schedulers=weather.nodes,
         )
         self.counters = Counters("n")
         self.faults: list[BaseException | None] = []
@@ -455,7 +463,7 @@
 
     def _drain(self, name: str) -> None:
         change = self.service.drain(name)
-        change.reachable = max((a.bad_until for a in self.addresses), default=0)
+        change.reachable = self.addresses[-1].bad_until
         self.changes.append(change)
 
     def run(self, length: int = 12 * SECOND) -> Play:
--- a/tests/test_discovery_orders.py
+++ b/tests/test_discovery_orders.py
@@ -80,6 +80,22 @@
     keeps_the_terms(Weather(longest_wait=2 * SECOND, asks=False))
 
 
+@pytest.mark.parametrize("nodes", [1, 200])
+def test_waits_between_calls_that_had_grown_before_the_move(nodes: int) -> None:
+    # Guards the calls after a move: the module's waits are those of the failed calls before it.
+    keeps_the_terms(
+        Weather(
+            nodes=nodes,
+            bad_before=True,
+            bad=BAD,
+            bad_for=2 * SECOND,
+            longest_wait=2950 * MS,
+            longest_dial=500 * MS,
+            shared=False,
+        )
+    )
+
+
 @pytest.mark.parametrize("stalls", [1, 3])
 @pytest.mark.parametrize("longest_wait", [300, 1500])
 def test_a_process_that_stands_still_at_any_step(stalls: int, longest_wait: int) -> None:
--- a/tests/test_node.py
+++ b/tests/test_node.py
@@ -700,10 +700,10 @@
             s send 202
             old expect after=1
             node send HUP
-            old wait
             d expect GET /discovery/hosts HTTP/1.1
             d send list 0 s-1=draining s-2=up
             d expect after=0
+            old wait
             s call+ a done result=kept
             c expect 200 | kept
             node send USR1
--- a/violetsaddle/net/discovery.py
+++ b/violetsaddle/net/discovery.py
@@ -31,8 +31,9 @@
 
     At most one call is awaited at a time.  One that is not answered in time becomes late: it stays open for
     a while, as it keeps its place in the queue of a slow discovery, and the module has another one made.
-    What discovery has written to the node counts as told, on whichever call: so a call is not given up while
-    it may be answered, and each list is taken that is not older than the one in force.
+    What discovery has written to the node counts as told, on whichever call: so no call is given up while it
+    may be the first to be answered, nor before what has come on it is read, and each list is taken that is
+    not older than the one in force.
     Implements `requests.DiscoveryPoller`."""
 
     def __init__(
@@ -176,10 +177,6 @@
     def _send(self, connection: ServerConnection, call: Call) -> None:
         """Sends a call once its connection is up."""
         call.dialling, call.connection = None, connection
-        if call.is_late and self._last_success > call.began:
-            self._end(call, CallEnd.SUPERSEDED)  # discovery knows of no call yet
-            connection.transport.abortConnection()
-            return
         call.step(CallEvent.CONNECTED)
         call.sent = self._deadlines.now()
         call.base = self._base
@@ -303,8 +300,6 @@
             self._counters.add("watch_late")
         unchanged = before == (self._list_epoch, self._version)
         self._end(call, CallEnd.UNCHANGED if unchanged else CallEnd.TAKEN)
-        if call.epoch == self._epoch:
-            self._note_success(before)
         return True
 
     def _is_news(self, message: Any, call: Call) -> bool:
@@ -317,34 +312,36 @@
         version = message.get("version")
         return self._version is None or not isinstance(version, int) or version >= self._version
 
-    def _note_success(self, before: tuple[int, int | None]) -> None:
-        """A list of discovery's present address is in force; `before`: epoch and version of the last one."""
-        self._last_call_failed, self._timeouts, self._last_success = False, 0, self._deadlines.now()
-        self._lines_left = 0
-        epoch, version = before
-        restarted = version is not None and self._version is not None and self._version < version
-        for call in list(self._calls):
-            if call.epoch != self._epoch:
-                self._end(call, CallEnd.MOVED)
-            elif epoch == self._epoch and restarted and call.is_late:
-                self._end(call, CallEnd.SUPERSEDED)  # discovery counts its versions anew
-
     def _go_on(self, answered: Call, connection: ServerConnection) -> None:
         """Makes the next call after one that brought a list, on the same connection."""
         if answered.epoch != self._epoch:
             connection.transport.loseConnection()
-            self.watch()  # the module takes it for watched
+            self.watch()  # the module takes the list for watched
             return
+        self._last_call_failed, self._timeouts, self._last_success = False, 0, self._deadlines.now()
+        self._lines_left = 0
+        self._end_superseded()
+        self._close_connection()  # another one may be idle in a pause
         self._connection = connection if connection.open else None
-        if self._awaited is not None:
-            self._make_late(self._awaited)  # this connection is known to work
-            self._awaited = None
         if answered.end is CallEnd.UNCHANGED and not answered.late:
             # Avoids a busy loop if discovery answers at once without changes.
             self._pause = self._deadlines.after(self._limits.watch_pause, self._end_pause)
         else:
             self.watch()
 
+    def _end_superseded(self) -> None:
+        """Ends all other calls, which would bring the same list again.
+
+        A list that has already come on one of them counts as told: it is taken first, which ends the others
+        in its turn."""
+        if self._awaited is not None:
+            self._make_late(self._awaited)
+            self._awaited = None
+        self.read_arrived()
+        self._drop_pause()
+        for call in list(self._calls):
+            self._end(call, CallEnd.SUPERSEDED)
+
     def _end_pause(self) -> None:
         self._pause = None
         self.watch()
