Each signal ends the reactor's wait, also one that comes just before it

What callers saw: an idle node may act on SIGHUP, SIGTERM or SIGUSR1 up to a second late.

Cause: Python runs signal handlers between two of its instructions, and the reactor runs without Twisted's signal handling, which would set a wake-up descriptor. A signal that arrives after the last instruction and before the wait in the kernel interrupts nothing; its handler runs when something else ends the wait: a message, or the module's timer each second.

Change: the reactor's own waker is set as the descriptor that the interpreter's C handler writes to (`Reactor.wake_on_signals`), in the node and in the control process, which had the same loop.

Evidence: the window is too small to be hit at will. A second thread that takes the signals has the same effect, as the main thread's wait is not interrupted: `SignalsElsewhere` failed without the change (over 0.3 s) and passes with it.

--- a/tests/test_told.py
+++ b/tests/test_told.py
@@ -229,6 +229,20 @@
         self.assertEqual(self.heard[-1].name, "s-2")
 
 
+class SignalsElsewhere(Scenario):
+    COMMAND = ("-m", "tests.signals_elsewhere")
+
+    def test_a_signal_that_does_not_interrupt_the_wait_is_acted_on_at_once(self) -> None:
+        # An idle node slept on until its next timer, up to a second later.
+        self.start(ASK)
+        self.play("c send GET /up\nc expect 200\nd expect after=1")
+        for _ in range(8):
+            time.sleep(0.15)  # nothing else is due
+            start = time.monotonic()
+            self.play("node send USR1\nnode expect counters")
+            self.assertLess(time.monotonic() - start, 0.3)
+
+
 class During(Held):
     COMMAND = Scenario.COMMAND
 
--- a/violetsaddle/control/run.py
+++ b/violetsaddle/control/run.py
@@ -253,6 +253,7 @@
         (signal.SIGUSR1, control.counters.show),
     ):
         signal.signal(signal_number, lambda *_, handler=handler: running_reactor.callFromThread(handler))
+    running_reactor.wake_on_signals()
     try:
         control.start()
     except CannotListenError as error:
--- a/violetsaddle/net/node.py
+++ b/violetsaddle/net/node.py
@@ -479,6 +479,7 @@
     ):
         signal.signal(number, lambda *_, what=what: running.callFromThread(what))
     signal.signal(signal.SIGHUP, lambda *_: running.callFromThread(node.reload, node.deadlines.now()))
+    running.wake_on_signals()
     try:
         (life or node).start(listener)
     except CannotListenError as error:
--- a/violetsaddle/net/reactor.py
+++ b/violetsaddle/net/reactor.py
@@ -7,6 +7,7 @@
 
 from __future__ import annotations
 
+import signal
 from time import monotonic, monotonic_ns
 from typing import Any
 
@@ -37,6 +38,13 @@
         super().__init__()
         self._poller = Poller(vars(self)["_poller"])
 
+    def wake_on_signals(self) -> None:
+        """Has each signal end the reactor's wait.
+
+        Python runs signal handlers between two instructions.  A signal that arrives after the last of these
+        and before the wait, or in another thread, would only be handled once something else ends the wait."""
+        signal.set_wakeup_fd(self.waker.o, warn_on_full_buffer=False)
+
     def behind(self) -> int:
         """The longest time, in microseconds, for which data on a polled socket may have been unread."""
         return (monotonic_ns() - self._previous_poll_ns) // 1000
