Unread lists are looked for as a connection is taken, at no cost to other requests

The look for lists that lie unread stood in `Servers._build_message`, before each attempt: 50 of 14,710 instructions a request, above the bound of tests/test_guard.py (it failed: 14,760). It stands now where the node already asks for how long sockets may have been unread, as an idle connection is taken, and as a dialled one is up; nothing comes between there and the first byte. The header of an answer that refuses a job is looked for only where the status allows it. 14,720 instructions a request; the bound is as it was. `During` and the drawn orders pass.

--- a/violetsaddle/net/servers.py
+++ b/violetsaddle/net/servers.py
@@ -165,10 +165,13 @@
         taken = self._connections.get(idle.pop(found)) if found >= 0 else None
         if taken is None:
             return None
-        if self._read_lag() > self._limits.unseen and peek(taken.transport) is not None:
-            # A second answer, or the end of the connection, may have arrived while the node was busy.
-            self._close(taken)
-            return self._take_idle(server, unambiguous)
+        if self._read_lag() > self._limits.unseen:
+            # The node was busy: a list that drains this server may have arrived, a second answer, or the end
+            # of the connection.
+            self.read_lists()
+            if peek(taken.transport) is not None:
+                self._close(taken)
+                return self._take_idle(server, unambiguous)
         if taken.idle_timer is not None:
             taken.idle_timer.rest()
         return taken
@@ -193,6 +196,8 @@
         def connected(connection: ServerConnection) -> ServerConnection:
             connection.number, connection.server = self._connections.put(connection), server
             connection.fresh = True
+            if self._read_lag() > self._limits.unseen:
+                self.read_lists()  # as for an idle connection that is taken
             connection.on_call_failed = partial(self._call_failed, server)
             self._counters.add("server_connections")
             return connection
@@ -314,8 +319,9 @@
         if (now := self._deadlines.now()) < quiet_from:
             # This may answer the previous request; the answer to this one must not be matched to the next.
             connection.stray_answer_until = now + self._limits.owed
-        turned_away = reuse_after is not DELETE_REUSABLE_STATUSES and answer.header("x-turned-away") == "1"
-        if answer.status in reuse_after or turned_away:
+        if answer.status in reuse_after or (
+            reuse_after is not DELETE_REUSABLE_STATUSES and answer.header("x-turned-away") == "1"
+        ):
             self._return_to_idle(connection)
         else:
             # After an unexpected answer, more data may follow. Where the site allows no DELETE, closing the
@@ -378,8 +384,6 @@
 
         While the connection was being opened, the server may have been removed or the client may have
         disconnected; then this raises `WithheldError`."""
-        if self._read_lag() > self._limits.unseen:
-            self.read_lists()  # the node was held up, and a list that drains this server may have arrived
         now = self._deadlines.now()
         if (
             not server.listed
