SIGHUP that comes while a successor starts is passed on to it

Cause: the successor's environment is made as it is started, with the old address if no move came before, and it ignores SIGHUP until it listens for it.

Change: the old process notes a reload after the start and sends the successor SIGHUP once it has been told to go; later ones are passed on at once.

Evidence: `test_sighup_as_the_successor_starts_moves_it_too` fails before (no call at the new address in 20 s) and passes now; the tests of upgrades and of the control process pass (61).

--- a/tests/test_upgrade.py
+++ b/tests/test_upgrade.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import json
 import os
 import resource
 import signal
@@ -16,7 +17,7 @@
 from click.testing import CliRunner
 
 from tests import killed
-from tests.scenario import PATIENCE, Scenario, address, listener
+from tests.scenario import PATIENCE, Line, Scenario, address, listener
 from violetsaddle.cli.main import main
 from violetsaddle.lab.live import upgrades
 
@@ -246,6 +247,28 @@
             self.play(UPGRADE.replace("node send", "next send"))
         self.assertNotIn(b"RELAY_DISCOVERY=", Path(f"/proc/{self.successor}/environ").read_bytes())
 
+    def test_sighup_as_the_successor_starts_moves_it_too(self) -> None:
+        # It stayed with the address that it was started with, for good.
+        self.begin()
+        self.play("d expect after=1\nnode send USR2\nnode expect is to follow")
+        with listener() as moved:
+            self.replace(discovery=address(moved))
+            self.play("node send HUP\nnode expect discovery is at\nnode expect drains\nnode expect exit 0")
+            successors = None
+            while successors is None:
+                line = Line(moved.accept()[0])
+                self.addCleanup(line.sock.close)
+                body = json.dumps(self.listing(7, ["s-1=draining", "s-2=up"])).encode()
+                try:  # calls of the old process have ended with it
+                    self.assertNotIn("after=", line.message())
+                    line.sock.sendall(b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s" % (len(body), body))
+                    self.assertIn("after=7", line.message())
+                    successors = line
+                except (AssertionError, ConnectionError):
+                    pass
+        self.play("c send job a settle\ns expect X-Txn: a")
+        self.assertEqual(self.heard[-1].name, "s-2")
+
     def test_datagrams_are_the_successors(self) -> None:
         self.begin(settings={"siblings": 2, "permissions": {"mayTell": True}})
         long = "00" * 300
--- a/violetsaddle/net/node.py
+++ b/violetsaddle/net/node.py
@@ -14,7 +14,7 @@
 
 from violetsaddle import interface as api
 from violetsaddle.net.counters import Counters, Sink
-from violetsaddle.net.deadlines import Clock, Deadlines, Reactor, SystemClock
+from violetsaddle.net.deadlines import Clock, Deadlines, Reactor, SystemClock, nothing
 from violetsaddle.net.discovery import Discovery
 from violetsaddle.net.edge import FOREVER, EdgeFactory, Shared
 from violetsaddle.net.limits import DEFAULT_MEMORY, MS, Limits
@@ -186,6 +186,7 @@
         self.configurer = configure(self) if configure is not None else None
         self._stopping = self._closing = self._finishing = self._ended = False
         self.guest: Callable[[], bool] = lambda: False  # another process's requests still need our listener
+        self.on_reload: Callable[[], object] = nothing  # the configuration was read again
         self.moved = False  # discovery is where the configuration says, whatever the environment told
         self.status = 0
 
@@ -364,6 +365,7 @@
         waited = "" if came is None else f"; SIGHUP came {(self.deadlines.now() - came) // MS} ms ago"
         self.counters.say("discovery is at {}:{}".format(*config.discovery) + waited)
         self.discovery.move(config.discovery)
+        self.on_reload()
 
     def stop(self) -> None:
         """First goes on as before: clients and the front learn of it only after a while."""
--- a/violetsaddle/net/upgrade.py
+++ b/violetsaddle/net/upgrade.py
@@ -10,6 +10,7 @@
 from __future__ import annotations
 
 import os
+import signal
 import socket
 import subprocess
 import sys
@@ -301,6 +302,13 @@
         except OSError:
             pass
 
+    def reload(self) -> None:
+        """SIGHUP; nothing happens if it has ended."""
+        try:
+            self._process.send_signal(signal.SIGHUP)
+        except OSError:
+            pass
+
     def look(self, done: Callable[[int], None], kill_after: int | None, give_up: int | None) -> None:
         """Calls `done` with the status once the process has ended, never at once; both times are
         microseconds from now.  A second look that begins while one goes on is the same one."""
@@ -342,6 +350,9 @@
         self._life = decide.successor() if pair is not None else decide.old_process()
         self._link: Link | None = None
         self._child: Child | None = None
+        self._child_handles_signals = False  # as it has been told to go
+        self._child_reloads = False  # the configuration was replaced as it started
+        node.on_reload = self._reloaded
         self._late: Deadline | None = None
         self._events: deque[Event] = deque()
         self._busy = False
@@ -406,6 +417,13 @@
             return
         self._event(Event.UPGRADE)
 
+    def _reloaded(self) -> None:
+        """On SIGHUP: the successor was started with the address of discovery that counted then."""
+        if self._child is not None and self._child_handles_signals:
+            self._child.reload()
+        else:
+            self._child_reloads = True
+
     def stop(self) -> None:
         """On SIGTERM."""
         self._event(Event.TERM)
@@ -578,6 +596,7 @@
     def _spawn(self) -> None:
         self._counters.add("upgrades")
         self._why, self._ended_since = "", []
+        self._child_handles_signals = self._child_reloads = False
         env = dict(os.environ)
         if self._node.moved:
             env.pop("RELAY_DISCOVERY", None)  # it has been elsewhere since
@@ -642,6 +661,9 @@
         if self._link is not None:
             self._link.flush()
         self._step("go is out")
+        self._child_handles_signals = True
+        if self._child is not None and self._child_reloads:
+            self._child.reload()
 
     def _drain(self) -> None:
         assert self._child is not None
