Move: accepting and the shared objects leave `net/edge.py`

`EdgeFactory` (accepting, eviction at the limit, closing all) goes to `net/edge_factory.py`, `Shared` and `FOREVER` to `net/edge_shared.py`, as they were. Imports follow, and one held place of tests/test_closes.py.

--- a/tests/discovery_orders.py
+++ b/tests/discovery_orders.py
@@ -22,7 +22,7 @@
 from violetsaddle.net.counters import Counters
 from violetsaddle.net.deadlines import Deadlines
 from violetsaddle.net.discovery import Discovery
-from violetsaddle.net.edge import Shared
+from violetsaddle.net.edge_shared import Shared
 from violetsaddle.net.limits import Limits
 from violetsaddle.net.requests import Failure, Requests
 from violetsaddle.net.servers import Servers
--- a/tests/test_closes.py
+++ b/tests/test_closes.py
@@ -16,7 +16,7 @@
 from tests.held import Held
 from tests.scenario import CLASSES, PATIENCE, Line, Scenario, address, listener
 
-CLOSE_SOON = "violetsaddle.net.edge:EdgeFactory.close_soon"
+CLOSE_SOON = "violetsaddle.net.edge_factory:EdgeFactory.close_soon"
 ENDED = "violetsaddle.net.edge:EdgeConnection.connectionLost"
 LARGE = 60_000
 LAST = "POST /api | X-Txn: a | X-Lane: settle | X-Org: acme | X-Remaining: 9000m | Connection: close | | b"
--- a/tests/test_remaining.py
+++ b/tests/test_remaining.py
@@ -22,7 +22,9 @@
 from tests.scenario import address, listener
 from tests.wired import Net
 from violetsaddle.interface import ACTIVE, RequestClass, Settings
-from violetsaddle.net.edge import MAX_MESSAGES_PER_TURN, EdgeConnection, EdgeFactory, Shared
+from violetsaddle.net.edge import MAX_MESSAGES_PER_TURN, EdgeConnection
+from violetsaddle.net.edge_factory import EdgeFactory
+from violetsaddle.net.edge_shared import Shared
 from violetsaddle.net.limits import SECOND
 from violetsaddle.net.transports import LAST_DATA_RECEIVED_OFFSET, MAX_ACCEPTS, ListeningPort
 
--- a/tests/wired.py
+++ b/tests/wired.py
@@ -14,7 +14,7 @@
 from violetsaddle.net.connections import ServerConnection
 from violetsaddle.net.counters import Counters
 from violetsaddle.net.deadlines import Deadlines
-from violetsaddle.net.edge import FOREVER, Shared
+from violetsaddle.net.edge_shared import FOREVER, Shared
 from violetsaddle.net.limits import Limits
 from violetsaddle.net.requests import Failure, Requests
 from violetsaddle.net.servers import Servers
--- a/violetsaddle/net/callbacks.py
+++ b/violetsaddle/net/callbacks.py
@@ -9,7 +9,7 @@
 from violetsaddle.decide.proof import Evidence
 
 if TYPE_CHECKING:
-    from violetsaddle.net.edge import Shared
+    from violetsaddle.net.edge_shared import Shared
 
 STATES = {
     "started": Evidence.STARTED,
--- a/violetsaddle/net/node.py
+++ b/violetsaddle/net/node.py
@@ -16,7 +16,8 @@
 from violetsaddle.net.counters import Counters, Sink
 from violetsaddle.net.deadlines import Clock, Deadlines, Reactor, SystemClock, nothing
 from violetsaddle.net.discovery import Discovery
-from violetsaddle.net.edge import FOREVER, EdgeFactory, Shared
+from violetsaddle.net.edge_factory import EdgeFactory
+from violetsaddle.net.edge_shared import FOREVER, Shared
 from violetsaddle.net.limits import DEFAULT_MEMORY, MS, Limits
 from violetsaddle.net.peers import Peers
 from violetsaddle.net.requests import Decider, Requests
