Move: input and closing of a client connection leave `net/edge.py`

What has come on a connection (buffers, times, what counts against the memory, what is passed over) is `ConnectionInput` in `net/edge_input.py`; its timeouts, eviction and ends are `ClosingConnection` in `net/edge_closing.py`; messages, requests, callbacks and answers stay. Each builds on the one before and knows nothing of the next, but that `ClosingConnection` names `_answer`.

--- a/benchmarks/counting.py
+++ b/benchmarks/counting.py
@@ -64,7 +64,7 @@
 PARTS = (
     ("violetsaddle/net/http.py", "parsing"),
     ("violetsaddle/net/body.py", "parsing"),
-    ("violetsaddle/net/edge.py", "edge"),
+    ("violetsaddle/net/edge", "edge"),
     ("violetsaddle/net/http_order.py", "edge"),
     ("violetsaddle/net/held_bytes.py", "edge"),
     ("violetsaddle/net/requests.py", "requests"),
--- a/violetsaddle/net/edge_factory.py
+++ b/violetsaddle/net/edge_factory.py
@@ -9,7 +9,8 @@
 from twisted.internet.protocol import Factory
 
 from violetsaddle.net.accept_gate import AcceptGate
-from violetsaddle.net.edge import LAST_RESORT, EdgeConnection
+from violetsaddle.net.edge import EdgeConnection
+from violetsaddle.net.edge_closing import LAST_RESORT
 from violetsaddle.net.edge_shared import Shared
 from violetsaddle.net.held_bytes import Allowance, ByteAccount
 
