Replicas of the configuration that are all slow get more time

Where each replica answers later than the node waits (1.3 s here, 0.8 s waited), the node leaves each for the next, round after round, and no version ever comes. Connections that take longer than `dialTimeout` had the same effect.

A silent replica must be left quickly, so the first wait stays short.

Change: once a round of polls has failed, of all replicas or of four, the time for connection and answer is doubled, after the second round once more (`decide/subscription`, `Poll.doublings`).

--- a/tests/replica.py
+++ b/tests/replica.py
@@ -18,6 +18,7 @@
     def __init__(self) -> None:
         self.changed = Condition()
         self.newest: dict[str, Any] = {"number": 0, "digest": ""}  # the body of answers
+        self.delay = 0.0  # seconds before a request is looked at
         self.silent = False  # whether requests are accepted and never answered
         self.status = 200
         self.truncated_bytes = 0  # missing at the end of each answer's body
@@ -71,6 +72,7 @@
     def answer(self, target: str) -> bytes | None:
         """The body of the answer, as soon as there is one. None closes the connection without an answer."""
         query = dict(parse_qsl(urlsplit(target).query))
+        time.sleep(self.delay)
         after, deadline = int(query["after"]), time.monotonic() + int(query["wait_ms"]) / 1000
         with self.changed:
             self.calls.append(query)
--- a/tests/test_configuration_node.py
+++ b/tests/test_configuration_node.py
@@ -172,6 +172,17 @@
         self.assertLess(time.monotonic() - began, BOUND)
         self.assertGreaterEqual(self.counters()["configuration_failed"], 1)
 
+    def test_replicas_that_are_all_slow(self) -> None:
+        # Each was left for the next before it answered, round after round: no version ever came.
+        slow = self.replicas(3)
+        for replica in slow:
+            replica.set(delay=1.3)
+            replica.push(1, document(mostTries=1))
+        began = time.monotonic()
+        self.start(operator=section(*slow, watch_wait_ms=300))
+        self.log("configuration 1 by ann")
+        self.assertLess(time.monotonic() - began, BOUND)
+
     def test_without_any_replica_it_serves_on(self) -> None:
         closed_ports = [
             socket.socket() for _ in range(3)
--- a/violetsaddle/decide/subscription.py
+++ b/violetsaddle/decide/subscription.py
@@ -7,7 +7,7 @@
 - A node polls one replica at a time.  The replica may hold the poll until there is a newer version.  After an
   error, a timeout or an answer that is older than what the node has, the node polls the next replica at once.
   If that fails too, it backs off from 0.1 to 1 s.  A replica that failed is skipped for a while, unless all
-  others failed too.
+  others failed too.  Once all have failed, they get more time to answer: they may be slow.
 - After a poll that brought no new version, the node polls the next replica.  A replica that is partitioned
   from the others does not know that it is behind, and would keep its nodes behind as well.
 - When another node advertises a newer version, the node polls the next replica after a random delay, so that
@@ -37,6 +37,7 @@
 ADVERTISED_DELAY_PER_NODE = 8 * MS  # times the nodes of the tier: the longest delay after an advertisement
 MAX_ADVERTISED_DELAY = 2 * SECOND
 MAX_FAILURES = 8  # where counting stops: more failures change nothing
+MAX_DOUBLINGS = 2  # of the time for an answer
 MAX_VERSION_NUMBER = 0xFFFFFFFF
 
 # Older releases ignore datagrams with this first byte: their own start with 0, 1 or a set bit 7.
@@ -91,11 +92,13 @@
 class Poll(NamedTuple):
     """A request for a version above `after`, the one in force.
 
-    With `hold` the replica may hold the request until there is one."""
+    With `hold` the replica may hold the request until there is one.  The time for the connection and for the
+    answer is to be doubled `doublings` times."""
 
     replica: int
     after: int
     hold: bool
+    doublings: int = 0
 
 
 class Step(NamedTuple):
@@ -149,9 +152,14 @@
     # replica that gets the version answers, and a false advertisement causes no extra load.
     hold = not (state.advertised > state.seen and state.failures < rules.replicas)
     phase = Phase.LONG_POLL if hold else Phase.SHORT_POLL
-    return Step(
-        state._replace(phase=phase, due=0, polled_at=event.now), poll=Poll(state.replica, state.number, hold)
-    )
+    poll = Poll(state.replica, state.number, hold, _doublings(state, rules))
+    return Step(state._replace(phase=phase, due=0, polled_at=event.now), poll=poll)
+
+
+def _doublings(state: State, rules: Rules) -> int:
+    """One for each round of failed polls, of all replicas or four: they may all be slow instead of silent."""
+    round_length = min(rules.replicas, MAX_FAILURES // MAX_DOUBLINGS)
+    return min(state.failures // round_length, MAX_DOUBLINGS)
 
 
 def _on_wake(state: State, rules: Rules, event: EventData) -> Step:
--- a/violetsaddle/net/configuration.py
+++ b/violetsaddle/net/configuration.py
@@ -332,7 +332,7 @@
             self._connection = await dial(
                 node.reactor,
                 node.deadlines,
-                node.limits.dial,
+                node.limits.dial << poll.doublings,
                 *address,
                 lambda: ServerConnection(node.limits, lambda _: None, MAX_ANSWER_BYTES),
             )
@@ -346,7 +346,7 @@
             [http.request("GET", target, f"{address[0]}:{address[1]}")], kept_body=MAX_ANSWER_BYTES
         )
         timeout = (wait + options.watch_grace_ms) * MS if poll.hold else IMMEDIATE_ANSWER_TIMEOUT
-        deadline = node.deadlines.after(timeout, response.cancel)
+        deadline = node.deadlines.after(timeout << poll.doublings, response.cancel)
         try:
             return await response
         finally:
