--- a/tests/discovery_orders.py
+++ b/tests/discovery_orders.py
@@ -17,6 +17,7 @@
 from typing import Any
 
 from tests.reactor_turns import MS, SECOND, Link, Listener, Network, TurnReactor
+from tests.wired import Client, Job
 from violetsaddle import interface as api
 from violetsaddle.net.callbacks import apply_callback
 from violetsaddle.net.counters import Counters
@@ -24,7 +25,7 @@
 from violetsaddle.net.discovery import Discovery
 from violetsaddle.net.edge_shared import Shared
 from violetsaddle.net.limits import Limits
-from violetsaddle.net.requests import Failure, Requests
+from violetsaddle.net.requests import Requests
 from violetsaddle.net.servers import Servers
 
 SLACK = 50 * MS  # each time limit is so much longer on sockets
@@ -278,31 +279,6 @@
             link.close(reset=True)
 
 
-class Client:
-    def __init__(self) -> None:
-        self.answers: list[str] = []
-
-    def is_gone(self) -> bool:
-        return False
-
-    def served(self, result: bytes) -> None:
-        self.answers.append("served")
-
-    def refused(self, retry_after: int, before_sending: bool) -> None:
-        self.answers.append("refused")
-
-    def failed(self, why: Failure) -> None:
-        self.answers.append("failed")
-
-
-class Job:
-    def __init__(self, name: str) -> None:
-        self.name = name
-
-    def message(self, host: str, wait: int) -> Sequence[bytes]:
-        return (f"POST /api {self.name} {host}".encode(),)
-
-
 class Event:
     """A socket of the process that is no connection of this play's: a client's, or a callback's."""
 
