Corrections of the list are not taken for the answer of a watch

What callers saw: nothing yet; found while orders were forced. A node whose call to discovery had failed, and whose next one was still to come, could stop calling for good: when a late answer was not valid as a whole but named a server that drains (its drains count), or, with `[recovery] silence_s`, when a server answered after a loss of power while discovery was down. Every later drain was missed until SIGHUP or a new start.

Cause: both reached `Balancer.members` as changes (`api.DIFF`), which it took for an answer, after which the watch goes on by itself: it counted the list as watched, and its own timer for the next call did nothing.

Change: they come as `api.CORRECTION`, which changes workers and nothing else. `lists_correction` counts what of lists that are not valid was applied (`lists_diff` did).

--- a/tests/test_discovery_turns.py
+++ b/tests/test_discovery_turns.py
@@ -9,6 +9,7 @@
 
 from tests.discovery_orders import Play, Weather
 from tests.reactor_turns import MS, SECOND, Link, Listener
+from violetsaddle import interface as api
 
 SEEDS = range(8)  # each draws another order of the sockets of a turn
 
@@ -137,6 +138,36 @@
     assert script.new.open_links == 1
 
 
+def test_a_late_list_that_is_not_valid_but_drains_a_server_leaves_the_watch_at_work() -> None:
+    # The module took the drain for the answer of a watch, while no call was out: none was made any more.
+    script = Script()
+    script.run(1110 * MS)
+    assert len(script.new.calls) == 1
+    entries = [
+        {"id": "s-1", "addr": "box:11", "zone": "z", "kind": "k", "state": "draining"},
+        {"id": "s-2", "addr": "nowhere", "zone": "z", "kind": "k", "state": "up"},
+    ]
+    body = json.dumps({"version": 7, "full": False, "servers": entries}).encode()
+    script.new.calls[0][0].send(b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n" % len(body) + body)
+    script.run(10 * MS)
+    assert script.drains(1) and script.version == 1
+    script.run(SECOND)
+    assert len(script.new.calls) == 2
+    script.new.answer(1, 8, 1, 2)
+    script.run(10 * MS)
+    assert script.version == 8 and script.drains(2)
+
+
+def test_a_correction_of_the_list_while_no_call_is_out_leaves_the_watch_at_work() -> None:
+    # As above: start times that `decide.recovery` replaces while discovery is silent ended the watch.
+    script = Script()
+    script.run(1110 * MS)
+    requests, number = script.play.requests, script.play.servers.number_of("s-1")
+    requests._apply_corrections((api.Entry(number, started=script.play.network.now),))
+    script.run(SECOND)
+    assert len(script.new.calls) == 2
+
+
 def test_a_call_is_not_given_up_for_newer_ones_while_it_may_be_answered() -> None:
     # The third that was late was given up at once.
     script = Script()
--- a/violetsaddle/interface.py
+++ b/violetsaddle/interface.py
@@ -39,6 +39,7 @@
 # Kinds of list event.
 DIFF = "diff"  # only the workers that changed
 SNAPSHOT = "snapshot"  # all workers
+CORRECTION = "correction"  # some workers, not as the answer to a watch
 DISK = "disk"  # all workers, from a stored list that may be out of date
 LIST_ERROR = "error"  # discovery gave no list
 
--- a/violetsaddle/lab/yardsticks.py
+++ b/violetsaddle/lab/yardsticks.py
@@ -160,7 +160,7 @@
             self.after(now, int(WATCH_AGAIN * (0.5 + self.random())), self._watch)
             return
         before = self.workers
-        if kind != api.DIFF:
+        if kind not in (api.DIFF, api.CORRECTION):
             self.workers = {}
         for entry in entries:
             if entry.state == api.GONE:
--- a/violetsaddle/net/requests.py
+++ b/violetsaddle/net/requests.py
@@ -428,8 +428,8 @@
         return attempt.state is AttemptState.UNSENT
 
     def listed(self, kind: str, entries: Sequence[api.Entry]) -> None:
-        """Discovery has sent a list (`kind` is `api.SNAPSHOT`), changes (`api.DIFF`) or an error
-        (`api.LIST_ERROR`).
+        """Discovery has sent a list (`kind` is `api.SNAPSHOT`), changes (`api.DIFF`), an error
+        (`api.LIST_ERROR`), or what counts of a list that is not valid (`api.CORRECTION`).
         """
         self._counters.add("lists_" + kind)
         self._counters.event("list applied", "debug", kind=kind, entries=len(entries))
@@ -449,7 +449,7 @@
     def _apply_corrections(self, entries: Sequence[api.Entry]) -> None:
         if entries:
             self._counters.add("lists_doubted")
-            self._dispatch(lambda: self._balancer.members(self._deadlines.now(), api.DIFF, entries))
+            self._dispatch(lambda: self._balancer.members(self._deadlines.now(), api.CORRECTION, entries))
 
     def probed(self, server: int, ok: bool, report: api.Report | None) -> None:
         """A probe has ended; `ok`: the real server is up; `report`: the load that it reported, None if it
--- a/violetsaddle/net/server_list.py
+++ b/violetsaddle/net/server_list.py
@@ -128,7 +128,7 @@
             self._entries[name] = entry
         for name in removed:
             del self._entries[name]
-        self._requests.listed(api.DIFF, entries)
+        self._requests.listed(api.CORRECTION, entries)
 
     def _entry(self, item: dict[str, Any]) -> api.Entry:
         name, state = item["id"], STATES[item.get("state", "up")]
--- a/violetsaddle/policy.py
+++ b/violetsaddle/policy.py
@@ -420,9 +420,9 @@
             self.watching, self.watch_fails, self.list_deadline = False, self.watch_fails + 1, 0
             self._schedule(now, int(wait * (0.5 + self.random())), self._watch, None)
             return
-        if kind != api.DISK:
+        if kind in (api.SNAPSHOT, api.DIFF):
             self.watching, self.watch_fails, self.list_deadline = True, 0, 0
-        if kind != api.DIFF:
+        if kind not in (api.DIFF, api.CORRECTION):
             listed = {e.worker for e in entries}
             for gone in [w for w in self.workers.values() if w.id not in listed]:
                 self._delist(gone)
